--- /dev/null
+++ b/packages/base/src/log.cpp
@@ -0,0 +1,131 @@
+#include "carobhall/base.h"
+
+#include <log4cplus/config.hxx>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <charconv>
+#include <type_traits>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+struct LogState {
+    log4cplus::Initializer initializer;
+    log4cplus::Logger logger = log4cplus::Logger::getInstance("carobhall");
+    std::string process;
+};
+
+LogState &logState()
+{
+    // Never destroyed, so that threads which log during process exit do not use a dead logger.
+    static auto *const state = new LogState;
+    return *state;
+}
+
+log4cplus::LogLevel levelOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+bool needsQuotes(std::string_view text)
+{
+    return text.empty() || text.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
+}
+
+void appendText(std::string &line, std::string_view text)
+{
+    if (!needsQuotes(text)) {
+        line += text;
+        return;
+    }
+    line += '"';
+    for (const char c : text) {
+        if (c == '\n') {
+            line += "\\n";
+        } else if (c == '\r') {
+            line += "\\r";
+        } else {
+            if (c == '"' || c == '\\') {
+                line += '\\';
+            }
+            line += c;
+        }
+    }
+    line += '"';
+}
+
+template<typename Value>
+void appendValue(std::string &line, const Value &value)
+{
+    if constexpr (std::is_same_v<Value, std::string_view>) {
+        appendText(line, value);
+    } else if constexpr (std::is_same_v<Value, bool>) {
+        line += value ? "true" : "false";
+    } else {
+        std::array<char, 32> digits{};
+        const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), value);
+        line.append(digits.data(), end);
+    }
+}
+
+} // namespace
+
+LogField::LogField(std::string_view k, const std::error_code &v)
+    : key(k)
+    , value(v.category() == errorCategory() ? nameOf(static_cast<Errc>(v.value())) : std::string_view(v.category().name()))
+{
+}
+
+std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line = "event=";
+    appendText(line, event);
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        std::visit([&line](const auto &value) { appendValue(line, value); }, field.value);
+    }
+    return line;
+}
+
+void initLogging(std::string_view process, LogLevel level)
+{
+    LogState &state = logState();
+    state.process = process;
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n"));
+    state.logger.removeAllAppenders();
+    state.logger.addAppender(appender);
+    state.logger.setAdditivity(false);
+    state.logger.setLogLevel(levelOf(level));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    LogState &state = logState();
+    const log4cplus::LogLevel logLevel = levelOf(level);
+    if (!state.logger.isEnabledFor(logLevel)) {
+        return;
+    }
+    state.logger.forcedLog(logLevel, "process=" + state.process + " " + formatLogLine(event, fields));
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/config/src/digest.cpp
@@ -0,0 +1,18 @@
+#include "carobhall/document.h"
+
+#include <sodium.h>
+
+namespace Carobhall
+{
+
+std::string digestOf(std::string_view bytes)
+{
+    std::array<unsigned char, crypto_generichash_BYTES> digest{};
+    crypto_generichash(digest.data(), digest.size(), reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), nullptr, 0);
+    std::string text(digest.size() * 2 + 1, '\0');
+    sodium_bin2hex(text.data(), text.size(), digest.data(), digest.size());
+    text.pop_back();
+    return text;
+}
+
+} // namespace Carobhall
