Parse environment documents and process settings

Cause: every process starts from a document and from settings, and nothing read them yet.

Change: a small field reader on jsoncpp (comments allowed, duplicate keys refused, offsets turned into line numbers) reads both. Each error names file or override, line, path and what was expected. Unknown and missing fields, duplicate names, dangling references, region pairs without a link and impossible sums are refused.

Ruled out: checking each override's name against a table of settings, which would repeat the readers.

--- /dev/null
+++ b/packages/config/src/settings.cpp
@@ -0,0 +1,145 @@
+#include "carobhall/settings.h"
+#include "json_reader.h"
+
+#include <unistd.h>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+constexpr std::string_view VariablePrefix = "CAROBHALL_";
+/// Set by CTest to tell tests where the programs are; not a setting.
+constexpr std::string_view ProgramDirectoryVariable = "CAROBHALL_BIN";
+constexpr std::size_t FleetKeyDigits = 64;
+constexpr Range<std::uint32_t> KeyIdRange{ 0, std::numeric_limits<std::uint32_t>::max() };
+constexpr Range<std::size_t> BodyRange{ 1024, std::size_t{ 64 } << 20U };
+constexpr Range<std::size_t> StreamBufferRange{ 1024, std::size_t{ 64 } << 20U };
+
+void readFleetKeys(ObjectReader &item, std::vector<FleetKeySetting> &keys)
+{
+    std::set<std::string> ids;
+    item.objects("fleetKeys", Presence::Required, [&](ObjectReader &entry) {
+        FleetKeySetting &key = keys.emplace_back();
+        entry.integer("id", key.id, KeyIdRange, Presence::Required);
+        entry.unique("id", std::to_string(key.id), ids);
+        entry.text("key", key.key);
+        // The key is a secret, so the error does not repeat it.
+        if (!isHex(key.key, FleetKeyDigits)) {
+            entry.fail("key", "expected 64 lower-case hexadecimal digits");
+        }
+    });
+    if (keys.empty()) {
+        item.fail("fleetKeys", "expected at least one key");
+    }
+}
+
+void readProcess(ObjectReader &item, ProcessSettings &process)
+{
+    item.name("name", process.name);
+    item.name("zone", process.zone);
+    item.name("environment", process.environment);
+    item.address("wireAddress", process.wireAddress, PortRule::MayBeZero, Presence::Optional);
+    item.address("adminAddress", process.adminAddress, PortRule::MayBeZero, Presence::Optional);
+    item.text("platformAddress", process.platformAddress, Presence::Optional);
+    if (!process.platformAddress.empty() && !isAddress(process.platformAddress, PortRule::Fixed)) {
+        item.fail("platformAddress", "expected \"ip:port\" with a port from 1 to 65535, or an empty string");
+    }
+    item.texts("seeds", Presence::Optional, [&](const std::string &seed, const Json::Value &value, const std::string &path) {
+        if (!isAddress(seed, PortRule::Fixed)) {
+            item.source().fail(value, path, "expected \"ip:port\" with a port from 1 to 65535");
+        }
+        process.seeds.push_back(seed);
+    });
+    item.text("documentFile", process.documentFile, Presence::Optional);
+    readFleetKeys(item, process.fleetKeys);
+    item.choice("logLevel", process.logLevel, Presence::Optional);
+    item.millis("shutdownDeadlineMs", process.shutdownDeadline, PositiveMillis, Presence::Optional);
+}
+
+void readSettings(ObjectReader &root, EntrySettings &settings)
+{
+    root.address("callerAddress", settings.callerAddress, PortRule::MayBeZero, Presence::Optional);
+    root.integer("maxBodyBytes", settings.maxBodyBytes, BodyRange, Presence::Optional);
+    root.integer("maxStreamBufferBytes", settings.maxStreamBuffer, StreamBufferRange, Presence::Optional);
+    root.millis("bodyTimeoutMs", settings.bodyTimeout, PositiveMillis, Presence::Optional);
+    root.millis("probeTimeoutMs", settings.probeTimeout, PositiveMillis, Presence::Optional);
+    root.name("policy", settings.policy, Presence::Optional);
+}
+
+void readSettings(ObjectReader &root, AgentSettings &settings)
+{
+    root.name("upstream", settings.upstream);
+    root.address("upstreamAddress", settings.upstreamAddress, PortRule::Fixed, Presence::Required);
+    root.millis("resumeWindowMs", settings.resumeWindow, AnyMillis, Presence::Optional);
+}
+
+template<typename Settings>
+LoadedSettings<Settings> load(std::string_view text, std::string_view file, const std::vector<SettingOverride> &overrides)
+{
+    LoadedSettings<Settings> loaded;
+    JsonSource source(text, file);
+    if (source.parse()) {
+        for (const SettingOverride &change : overrides) {
+            source.apply(change);
+        }
+        ObjectReader root = source.root();
+        root.object("process", Presence::Required, [&](ObjectReader &item) { readProcess(item, loaded.settings.process); });
+        readSettings(root, loaded.settings);
+        root.finish();
+    }
+    loaded.errors = std::move(source.errors());
+    return loaded;
+}
+
+/// "PROCESS__WIRE_ADDRESS" to "process.wireAddress".
+std::string pathOfVariable(std::string_view name)
+{
+    std::string path;
+    bool upper = false;
+    for (std::size_t i = 0; i < name.size(); ++i) {
+        if (name.substr(i, 2) == "__") {
+            path += '.';
+            ++i;
+            upper = false;
+        } else if (name[i] == '_') {
+            upper = true;
+        } else {
+            const bool isLetter = name[i] >= 'A' && name[i] <= 'Z';
+            path += isLetter && !upper ? static_cast<char>(name[i] - 'A' + 'a') : name[i];
+            upper = false;
+        }
+    }
+    return path;
+}
+
+} // namespace
+
+LoadedSettings<EntrySettings> loadEntrySettings(std::string_view text, std::string_view file, const std::vector<SettingOverride> &overrides)
+{
+    return load<EntrySettings>(text, file, overrides);
+}
+
+LoadedSettings<AgentSettings> loadAgentSettings(std::string_view text, std::string_view file, const std::vector<SettingOverride> &overrides)
+{
+    return load<AgentSettings>(text, file, overrides);
+}
+
+std::vector<SettingOverride> overridesFromEnvironment()
+{
+    std::vector<SettingOverride> overrides;
+    for (char **entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+        const std::string_view variable(*entry);
+        const std::size_t equals = variable.find('=');
+        const std::string_view name = variable.substr(0, equals);
+        if (equals == std::string_view::npos || !name.starts_with(VariablePrefix) || name == ProgramDirectoryVariable) {
+            continue;
+        }
+        overrides.push_back(
+            { .path = pathOfVariable(name.substr(VariablePrefix.size())), .value = std::string(variable.substr(equals + 1)), .source = std::string(name) });
+    }
+    return overrides;
+}
+
+} // namespace Carobhall
