--- /dev/null
+++ b/packages/routing/src/policies.cpp
@@ -0,0 +1,319 @@
+#include "policies.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Carobhall::RoutingInternal
+{
+
+// Memory ------------------------------------------------------------------------------------------
+
+PrefixMemory::PrefixMemory(std::size_t rows, Micros ttl)
+    : rows_(std::max<std::size_t>(rows, 1))
+    , ttl_(ttl)
+{
+}
+
+void PrefixMemory::remember(PrefixHash prefix, std::uint64_t serverKey, Micros now)
+{
+    rows_[prefix % rows_.size()] = { .prefix = prefix, .serverKey = serverKey, .at = now };
+}
+
+std::uint64_t PrefixMemory::recall(PrefixHash prefix, Micros now) const
+{
+    const Row &row = rows_[prefix % rows_.size()];
+    return row.prefix == prefix && now - row.at < ttl_ ? row.serverKey : 0;
+}
+
+// Helpers -----------------------------------------------------------------------------------------
+
+std::span<const ServerIndex> RendezvousOrder::top(std::span<const ServerRow> rows, std::span<const ServerIndex> eligible, std::uint64_t key, std::size_t count)
+{
+    count = std::min(count, eligible.size());
+    scored_.clear();
+    for (const ServerIndex index : eligible) {
+        scored_.emplace_back(mix(rows[index].key, key), index);
+    }
+    std::partial_sort(scored_.begin(), scored_.begin() + static_cast<std::ptrdiff_t>(count), scored_.end(), std::greater<>());
+    order_.clear();
+    for (std::size_t i = 0; i < count; ++i) {
+        order_.push_back(scored_[i].second);
+    }
+    return order_;
+}
+
+ServerIndex drawOne(std::span<const ServerIndex> servers, std::mt19937_64 &random)
+{
+    return servers[random() % servers.size()];
+}
+
+double localLoad(const ServerRow &row)
+{
+    const double active = std::max(row.load.reportedActive, row.load.inFlight);
+    return active / std::max(row.server.slots, 1U);
+}
+
+Micros biasOf(const ServerRow &row, Micros now)
+{
+    if (row.waitBias == 0.0) {
+        return 0;
+    }
+    const double halvings = static_cast<double>(now - row.biasAt) / static_cast<double>(BiasHalfLife);
+    return static_cast<Micros>(row.waitBias * std::exp2(-halvings));
+}
+
+namespace
+{
+
+/// Eligible servers of the own region, or all of them when it has none.
+std::span<const ServerIndex> localServers(const PolicyContext &context)
+{
+    return context.localCount > 0 ? context.eligible.first(context.localCount) : context.eligible;
+}
+
+ServerIndex leastLoaded(const PolicyContext &context, std::span<const ServerIndex> servers)
+{
+    ServerIndex best = NoServer;
+    double bestLoad = std::numeric_limits<double>::infinity();
+    // Starts at a random position, so that processes with the same reports do not all take the same one of equal servers.
+    const std::size_t start = context.random() % servers.size();
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const ServerIndex index = servers[(start + i) % servers.size()];
+        if (const double load = localLoad(context.rows[index]); load < bestLoad) {
+            best = index;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+Choice blindChoice(ServerIndex server)
+{
+    Choice choice;
+    choice.server = server;
+    choice.blind = true;
+    return choice;
+}
+
+} // namespace
+
+// Random and least-loaded -------------------------------------------------------------------------
+
+void RandomPolicy::plan(const RouteQuery & /*query*/, PolicyContext & /*context*/, Plan & /*plan*/)
+{
+}
+
+Choice RandomPolicy::choose(const RouteQuery & /*query*/, PolicyContext &context, const Plan & /*plan*/, std::span<const Quote> /*quotes*/)
+{
+    return blindChoice(drawOne(localServers(context), context.random));
+}
+
+void RandomPolicy::dispatched(const RouteQuery & /*query*/, PolicyContext & /*context*/, const Choice & /*choice*/)
+{
+}
+
+void LeastLoadedPolicy::plan(const RouteQuery & /*query*/, PolicyContext & /*context*/, Plan & /*plan*/)
+{
+}
+
+Choice LeastLoadedPolicy::choose(const RouteQuery & /*query*/, PolicyContext &context, const Plan & /*plan*/, std::span<const Quote> /*quotes*/)
+{
+    return blindChoice(leastLoaded(context, localServers(context)));
+}
+
+void LeastLoadedPolicy::dispatched(const RouteQuery & /*query*/, PolicyContext & /*context*/, const Choice & /*choice*/)
+{
+}
+
+// Rendezvous with bounded load --------------------------------------------------------------------
+
+BoundedRendezvousPolicy::BoundedRendezvousPolicy(const PolicyOptions &options)
+    : options_(options)
+{
+}
+
+void BoundedRendezvousPolicy::plan(const RouteQuery & /*query*/, PolicyContext & /*context*/, Plan & /*plan*/)
+{
+}
+
+Choice BoundedRendezvousPolicy::choose(const RouteQuery &query, PolicyContext &context, const Plan & /*plan*/, std::span<const Quote> /*quotes*/)
+{
+    const PlacementKey key = placementKey(query.hashes, 0);
+    const auto servers = localServers(context);
+    if (key.pieces == 0) {
+        return blindChoice(leastLoaded(context, servers));
+    }
+    double sum = 0.0;
+    for (const ServerIndex index : servers) {
+        sum += localLoad(context.rows[index]) * context.rows[index].server.slots;
+    }
+    // The load that this request adds counts, so that an idle fleet does not refuse every home.
+    const double bound = std::ceil(options_.boundedLoad * (sum + 1.0) / static_cast<double>(servers.size()));
+    for (const ServerIndex index : order_.top(context.rows, servers, key.hash, servers.size())) {
+        if (localLoad(context.rows[index]) * context.rows[index].server.slots + 1.0 <= bound) {
+            return blindChoice(index);
+        }
+    }
+    return blindChoice(leastLoaded(context, servers));
+}
+
+void BoundedRendezvousPolicy::dispatched(const RouteQuery & /*query*/, PolicyContext & /*context*/, const Choice & /*choice*/)
+{
+}
+
+// Probe -------------------------------------------------------------------------------------------
+
+ProbePolicy::ProbePolicy(const PolicyOptions &options, std::function<LinkCost(const Server &, const Server &)> transferLink)
+    : options_(options)
+    , transferLink_(std::move(transferLink))
+    , memory_(options.memoryRows, options.memoryTtl)
+    , hot_(options.hot)
+{
+    ensure(options.probes >= 1 && options.probes <= MaxProbes, "between one and MaxProbes servers are probed");
+}
+
+void ProbePolicy::plan(const RouteQuery &query, PolicyContext &context, Plan &plan)
+{
+    const std::size_t budget = std::min(options_.probes, context.eligible.size());
+    const auto servers = localServers(context);
+    planRemembered(query, context, plan);
+    // The deepest level finds the exact prompt family, the shallower ones its shared beginnings. One probe stays for a random server.
+    for (std::size_t up = 0; up < PlacementLevels.size() && plan.count + 1 < budget; ++up) {
+        planHomes(placementKey(query.hashes, up), context, 1, plan);
+    }
+    const bool busy = context.localCount > 0 && context.localCount < context.eligible.size()
+        && std::all_of(servers.begin(), servers.end(), [&](ServerIndex index) { return context.rows[index].load.reportedWait > options_.remoteWait; });
+    const auto pool = busy ? context.eligible.subspan(context.localCount) : servers;
+    for (std::size_t tries = 0; plan.count < budget && tries < 4 * MaxProbes; ++tries) {
+        plan.add(drawOne(pool, context.random));
+    }
+}
+
+void ProbePolicy::planRemembered(const RouteQuery &query, PolicyContext &context, Plan &plan)
+{
+    for (std::size_t up = 0; up < PlacementLevels.size(); ++up) {
+        const PlacementKey key = placementKey(query.hashes, up);
+        const std::uint64_t serverKey = key.pieces > 0 ? memory_.recall(key.hash, context.now) : 0;
+        if (serverKey == 0) {
+            continue;
+        }
+        const auto found = std::find_if(context.eligible.begin(), context.eligible.end(),
+                                        [&](ServerIndex index) { return context.rows[index].key == serverKey; });
+        if (found != context.eligible.end()) {
+            plan.add(*found);
+            return;
+        }
+    }
+}
+
+void ProbePolicy::planHomes(const PlacementKey &key, PolicyContext &context, std::size_t wanted, Plan &plan)
+{
+    if (key.pieces == 0) {
+        return;
+    }
+    const std::uint32_t homes = hot_.homes(key.hash, context.now);
+    const auto top = order_.top(context.rows, localServers(context), key.hash, homes);
+    if (top.size() <= wanted) {
+        for (const ServerIndex index : top) {
+            plan.add(index);
+        }
+        return;
+    }
+    // Power of two choices among the homes of a hot prefix.
+    plan.add(drawOne(top, context.random));
+    plan.add(drawOne(top, context.random));
+}
+
+Choice ProbePolicy::choose(const RouteQuery &query, PolicyContext &context, const Plan &plan, std::span<const Quote> quotes)
+{
+    Choice best;
+    std::size_t ties = 0;
+    for (const Quote &quote : quotes) {
+        if (!quote.accepting) {
+            continue;
+        }
+        const Choice candidate = costed(query, context, quotes, quote);
+        const Micros total = candidate.cost.total();
+        const Micros band = best.server == NoServer ? 0 : static_cast<Micros>(options_.tieBand * static_cast<double>(best.cost.total()));
+        if (best.server == NoServer || total + band < best.cost.total()) {
+            best = candidate;
+            ties = 1;
+        } else if (total <= best.cost.total() + band && candidate.heldPieces == best.heldPieces && context.random() % ++ties == 0) {
+            best = candidate;
+        }
+    }
+    if (best.server == NoServer) {
+        return chooseBlind(context, plan);
+    }
+    learnHomes(query, context, quotes);
+    return best;
+}
+
+Choice ProbePolicy::chooseBlind(PolicyContext &context, const Plan &plan) const
+{
+    std::vector<ServerIndex> servers;
+    std::copy_if(plan.servers().begin(), plan.servers().end(), std::back_inserter(servers),
+                 [&](ServerIndex index) { return std::find(context.eligible.begin(), context.eligible.end(), index) != context.eligible.end(); });
+    return blindChoice(leastLoaded(context, servers.empty() ? localServers(context) : std::span<const ServerIndex>(servers)));
+}
+
+Choice ProbePolicy::costed(const RouteQuery &query, const PolicyContext &context, std::span<const Quote> quotes, const Quote &quote) const
+{
+    const ServerRow &row = context.rows[quote.server];
+    CostInput input{
+        .expectedWait = quote.expectedWait + biasOf(row, context.now),
+        .prefillPerPiece = quote.prefillPerPiece,
+        .promptPieces = static_cast<std::uint32_t>(query.hashes.size()),
+        .heldPieces = quote.heldPieces,
+        .promptBytes = query.promptBytes,
+        .link = row.server.link,
+        .transferPieces = 0,
+        .transferLink = {},
+    };
+    Choice choice;
+    choice.server = quote.server;
+    choice.heldPieces = quote.heldPieces;
+    for (const Quote &other : quotes) {
+        if (transferLink_ && other.accepting && other.heldPieces > std::max(quote.heldPieces, input.transferPieces)) {
+            input.transferPieces = other.heldPieces;
+            input.transferLink = transferLink_(context.rows[other.server].server, row.server);
+            choice.transferFrom = other.server;
+        }
+    }
+    choice.cost = costOf(input, options_.cost);
+    if (choice.cost.transfer == 0) {
+        choice.transferFrom = NoServer;
+    }
+    return choice;
+}
+
+void ProbePolicy::learnHomes(const RouteQuery &query, PolicyContext &context, std::span<const Quote> quotes)
+{
+    const PlacementKey key = placementKey(query.hashes, 0);
+    Micros leastWait = std::numeric_limits<Micros>::max();
+    Micros perPiece = 0;
+    for (const Quote &quote : quotes) {
+        if (quote.accepting && quote.heldPieces >= key.pieces && key.pieces > 0) {
+            leastWait = std::min(leastWait, quote.expectedWait);
+            perPiece = std::max(perPiece, quote.prefillPerPiece);
+        }
+    }
+    if (leastWait != std::numeric_limits<Micros>::max()) {
+        hot_.observe(key.hash, leastWait, perPiece * key.pieces, context.now, context.random);
+    }
+}
+
+void ProbePolicy::dispatched(const RouteQuery &query, PolicyContext &context, const Choice &choice)
+{
+    const std::uint64_t serverKey = context.rows[choice.server].key;
+    for (std::size_t up = 0; up < PlacementLevels.size(); ++up) {
+        const PlacementKey key = placementKey(query.hashes, up);
+        if (key.pieces == 0) {
+            return;
+        }
+        memory_.remember(key.hash, serverKey, context.now);
+    }
+}
+
+} // namespace Carobhall::RoutingInternal
