Add the membership library: SWIM-style table, facts, UDP driver

Cause: every process needs to know the others, who is leaving, and small facts such as the configuration version, at a cost that does not grow with the fleet.

Change: carobhall_membership with Membership (pings, indirect pings, suspicion with refutation, leaving, regions that are cut off, pauses, reused addresses, table comparison by digests, piggybacked and eagerly pushed news within 1,200 bytes a datagram) and MembershipUdp (GSocket, XChaCha20-Poly1305 with the fleet keys). Fields of option structs have initialisers, so that a designated initialiser may leave out the rest.

Ruled out: the configuration version of each member as news, because one change would rewrite every row of every table; it travels in the sender's own datagrams.

--- /dev/null
+++ b/packages/membership/src/news.cpp
@@ -0,0 +1,102 @@
+#include "news.h"
+
+#include <algorithm>
+
+namespace Carobhall
+{
+
+// NewsQueue ---------------------------------------------------------------------------------------
+
+void NewsQueue::add(const NewsKey &key)
+{
+    const std::uint64_t generation = nextGeneration_++;
+    live_[key] = { .generation = generation, .transmissions = 0 };
+    queue_.push_front({ .key = key, .generation = generation });
+}
+
+void NewsQueue::remove(const NewsKey &key)
+{
+    live_.erase(key);
+}
+
+void NewsQueue::drain(std::size_t limit, const std::function<bool(const NewsKey &)> &send)
+{
+    // Entries that were offered go to the back, so each is offered once.
+    for (std::size_t left = queue_.size(); left > 0; --left) {
+        const Queued entry = queue_.front();
+        const auto found = live_.find(entry.key);
+        if (found == live_.end() || found->second.generation != entry.generation) {
+            queue_.pop_front();
+            continue;
+        }
+        if (!send(entry.key)) {
+            return;
+        }
+        queue_.pop_front();
+        if (++found->second.transmissions < limit) {
+            queue_.push_back(entry);
+        } else {
+            live_.erase(found);
+        }
+    }
+}
+
+// FactTable ---------------------------------------------------------------------------------------
+
+bool FactTable::merge(const Fact &fact, Micros now)
+{
+    const NewsKey key{ .kind = fact.kind, .id = fact.key };
+    const auto found = rows_.find(key);
+    const bool expired = found != rows_.end() && found->second.deadline != 0 && found->second.deadline <= now;
+    if (found != rows_.end() && !expired && found->second.fact.value >= fact.value) {
+        return false;
+    }
+    if (found == rows_.end() && rows_.size() >= Capacity) {
+        return false;
+    }
+    rows_[key] = { .fact = fact, .deadline = fact.ttl > 0 ? now + fact.ttl : 0 };
+    return true;
+}
+
+std::optional<Fact> FactTable::get(const NewsKey &key, Micros now) const
+{
+    const auto found = rows_.find(key);
+    if (found == rows_.end() || (found->second.deadline != 0 && found->second.deadline <= now)) {
+        return std::nullopt;
+    }
+    Fact fact = found->second.fact;
+    fact.ttl = found->second.deadline == 0 ? 0 : found->second.deadline - now;
+    return fact;
+}
+
+std::vector<Fact> FactTable::all(Micros now) const
+{
+    std::vector<Fact> facts;
+    for (const auto &entry : rows_) {
+        if (auto fact = get(entry.first, now)) {
+            facts.push_back(std::move(*fact));
+        }
+    }
+    return facts;
+}
+
+void FactTable::expire(Micros now)
+{
+    std::erase_if(rows_, [now](const auto &entry) { return entry.second.deadline != 0 && entry.second.deadline <= now; });
+}
+
+// ByteBudget --------------------------------------------------------------------------------------
+
+bool ByteBudget::take(std::size_t bytes, Micros now)
+{
+    const double seconds = static_cast<double>(now - filledAt_) / static_cast<double>(MicrosPerSecond);
+    left_ = std::min(burst_, left_ + seconds * rate_);
+    filledAt_ = now;
+    if (left_ < static_cast<double>(bytes)) {
+        return false;
+    }
+    left_ -= static_cast<double>(bytes);
+    return true;
+}
+
+} // namespace Carobhall
--- a/packages/routing/include/carobhall/routing.h
+++ b/packages/routing/include/carobhall/routing.h
@@ -50,10 +50,10 @@
 using PrefixHash = std::uint64_t;
 
 struct SaltParts {
-    std::string_view account;
-    std::string_view model;
-    std::string_view weightsVersion;
-    std::string_view adapter;
+    std::string_view account{};
+    std::string_view model{};
+    std::string_view weightsVersion{};
+    std::string_view adapter{};
 };
 
 /// Separates the prefixes of accounts, models, weights versions and adapters from each other.
@@ -84,7 +84,7 @@
 struct CacheEvent {
     std::uint64_t sequence = 0; ///< Counts the engine's events from 1.
     bool stored = false;        ///< False: evicted.
-    std::span<const PrefixHash> hashes;
+    std::span<const PrefixHash> hashes{};
 };
 
 enum class IndexState : std::uint8_t {
@@ -322,9 +322,9 @@
     std::uint32_t promptPieces = 0;
     std::uint32_t heldPieces = 0;
     std::uint64_t promptBytes = 0;
-    LinkCost link;
+    LinkCost link{};
     std::uint32_t transferPieces = 0; ///< Pieces that the best other holder has; 0: no transfer possible.
-    LinkCost transferLink;            ///< From that holder to the candidate.
+    LinkCost transferLink{};          ///< From that holder to the candidate.
 };
 
 /// The parts of a candidate's cost, each in microseconds.
@@ -348,15 +348,15 @@
 
 /// A server that an entry process may route to.
 struct Server {
-    std::string name; ///< Unique; its hash places the server in rendezvous hashing.
-    std::string zone;
-    std::string region;
-    std::string route;          ///< Model, or plain service.
-    std::string weightsVersion; ///< Empty: not versioned.
-    std::vector<std::string> adapters;
+    std::string name{}; ///< Unique; its hash places the server in rendezvous hashing.
+    std::string zone{};
+    std::string region{};
+    std::string route{};          ///< Model, or plain service.
+    std::string weightsVersion{}; ///< Empty: not versioned.
+    std::vector<std::string> adapters{};
     std::uint32_t slots = 1;
     bool accepting = true; ///< Alive, reachable and not leaving.
-    LinkCost link;         ///< From this process.
+    LinkCost link{};       ///< From this process.
 };
 
 using ServerIndex = std::uint32_t; ///< Position in the router's table; valid until the next setServers().
@@ -431,11 +431,11 @@
 
 /// One request, for routing. The spans must outlive the calls that take the query.
 struct RouteQuery {
-    std::string_view route;
-    std::string_view weightsVersion; ///< Empty: any.
-    std::string_view adapter;        ///< Empty: none.
+    std::string_view route{};
+    std::string_view weightsVersion{}; ///< Empty: any.
+    std::string_view adapter{};        ///< Empty: none.
     std::uint64_t promptBytes = 0;
-    std::span<const PrefixHash> hashes;
+    std::span<const PrefixHash> hashes{};
 };
 
 /// What a probed server answered.
@@ -512,19 +512,19 @@
     Micros memoryTtl = 30 * MicrosPerSecond;
     Micros remoteWait = 200 * MicrosPerMilli; ///< Wait in the own region from which another region is probed too.
     double tieBand = 0.02;                    ///< Candidates this close to the cheapest one are drawn at random.
-    CostOptions cost;
-    HotPrefixes::Options hot;
+    CostOptions cost{};
+    HotPrefixes::Options hot{};
 };
 
 // 8. Router ---------------------------------------------------------------------------------------
 
 struct RouterOptions {
     PolicyKind policy = PolicyKind::Probe;
-    PolicyOptions options;
-    std::string region; ///< Of this process.
+    PolicyOptions options{};
+    std::string region{}; ///< Of this process.
     std::uint64_t seed = 1;
     /// The path between two servers for KV cache transfer; empty: transfers are not considered.
-    std::function<LinkCost(const Server &from, const Server &to)> transferLink;
+    std::function<LinkCost(const Server &from, const Server &to)> transferLink{};
 };
 
 class Router
