state: thin platform client, claims and configuration relay

Cause: the agent and the entry process need claims, the document and the platform's object API. Change: state machines over a transport concept, with an in-memory fake and first tests.

--- /dev/null
+++ b/packages/state/src/platform.cpp
@@ -0,0 +1,417 @@
+#include "carobhall/platform.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+/// Member of a value that records its latest writes as [identity, base version].
+constexpr const char *WritesMember = "writes";
+
+/// How many writes a value records. A writer that needs longer to read back than this many writes of others gets MayHaveRun.
+constexpr Json::ArrayIndex RecordedWrites = 16;
+
+bool isFailure(const std::error_code &error)
+{
+    return error == Errc::PlatformUnavailable || error == Errc::Timeout || error == Errc::ConnectionLost || error == Errc::MalformedMessage;
+}
+
+Json::Value recordWrite(const Json::Value &earlier, const std::string &identity, std::uint64_t base)
+{
+    Json::Value writes(Json::arrayValue);
+    const Json::ArrayIndex count = earlier.isArray() ? earlier.size() : 0;
+    for (Json::ArrayIndex i = count >= RecordedWrites ? count - RecordedWrites + 1 : 0; i < count; ++i) {
+        writes.append(earlier[i]);
+    }
+    Json::Value entry(Json::arrayValue);
+    entry.append(identity);
+    entry.append(Json::UInt64{ base });
+    writes.append(std::move(entry));
+    return writes;
+}
+
+/// The identity of the write that took effect on \p base, or nothing when the value no longer records it.
+std::optional<std::string> writerOn(const Json::Value &spec, std::uint64_t base)
+{
+    const Json::Value &writes = spec.isObject() ? spec[WritesMember] : Json::Value::nullSingleton();
+    if (!writes.isArray()) {
+        return std::nullopt;
+    }
+    for (const Json::Value &entry : writes) {
+        const bool wellFormed = entry.isArray() && entry.size() == 2 && entry[0U].isString() && entry[1U].isUInt64();
+        if (wellFormed && entry[1U].asUInt64() == base) {
+            return entry[0U].asString();
+        }
+    }
+    return std::nullopt;
+}
+
+PlatformReply failure(Errc error, Verdict verdict)
+{
+    PlatformReply reply;
+    reply.error = error;
+    reply.verdict = verdict;
+    return reply;
+}
+
+} // namespace
+
+PlatformCall getCall(std::string kind, std::string name)
+{
+    return { .verb = PlatformVerb::Get, .kind = std::move(kind), .name = std::move(name), .spec = {} };
+}
+
+PlatformCall listCall(std::string kind)
+{
+    return { .verb = PlatformVerb::List, .kind = std::move(kind), .name = {}, .spec = {} };
+}
+
+PlatformCall writeCall(const PlatformObject &base, Json::Value spec)
+{
+    const PlatformVerb verb = base.version == 0 ? PlatformVerb::Create : PlatformVerb::Update;
+    return { .verb = verb, .kind = base.kind, .name = base.name, .baseVersion = base.version, .spec = std::move(spec) };
+}
+
+struct PlatformClient::Impl : std::enable_shared_from_this<Impl> {
+    struct Waiting {
+        PlatformCall call;
+        ReplyHandler done;
+        Micros deadline = 0;
+    };
+    struct Flying {
+        ReplyHandler done;
+        Micros deadline = 0;
+        bool write = false;
+    };
+    struct Timer {
+        Micros at = 0;
+        std::function<void(Micros)> run;
+    };
+    /// A conditional write until its outcome is known.
+    struct Write {
+        PlatformCall call;
+        std::string identity;
+        Micros deadline = 0;
+        ReplyHandler done;
+        Backoff backoff;
+        bool inDoubt = false;
+    };
+
+    Impl(Calls calls, PlatformClientOptions clientOptions)
+        : transport(std::move(calls))
+        , options(clientOptions)
+        , generator(options.seed)
+        , breaker(options.breaker)
+        , reads(FleetReadsPerSecond / options.callers, options.burst)
+        , writes(FleetWritesPerSecond / options.callers, options.burst)
+    {
+    }
+
+    void call(PlatformCall call, Micros now, ReplyHandler done);
+    bool send(Waiting &waiting, Micros now);
+    void onReply(std::uint64_t id, PlatformReply reply, Micros now);
+    void defer(ReplyHandler done, PlatformReply reply);
+    void runTimers(Micros now);
+    void timeOut(Micros now);
+    void sendWaiting(Micros now);
+    void tryWrite(const std::shared_ptr<Write> &write, Micros now);
+    void onWritten(const std::shared_ptr<Write> &write, PlatformReply reply, Micros now);
+    void readBack(const std::shared_ptr<Write> &write, Micros now);
+    void onReadBack(const std::shared_ptr<Write> &write, PlatformReply reply, Micros now);
+    void retry(const std::shared_ptr<Write> &write, void (Impl::*step)(const std::shared_ptr<Write> &, Micros), Micros now);
+
+    Calls transport;
+    PlatformClientOptions options;
+    Generator generator;
+    CircuitBreaker breaker;
+    TokenBucket reads;
+    TokenBucket writes;
+    PlatformStats stats;
+    std::deque<Waiting> waiting;
+    std::map<std::uint64_t, Flying> flying;
+    std::vector<Timer> timers;
+    std::vector<WatchId> openWatches;
+    std::uint64_t lastCall = 0;
+    std::uint64_t lastWrite = 0;
+    Micros chargedAt = 0;
+};
+
+void PlatformClient::Impl::defer(ReplyHandler done, PlatformReply reply)
+{
+    timers.push_back({ .at = 0, .run = [done = std::move(done), reply = std::move(reply)](Micros now) { done(reply, now); } });
+}
+
+void PlatformClient::Impl::call(PlatformCall call, Micros now, ReplyHandler done)
+{
+    if (!breaker.allow(now)) {
+        ++stats.refused;
+        defer(std::move(done), failure(Errc::PlatformUnavailable, Verdict::NotRun));
+        return;
+    }
+    Waiting entry{ .call = std::move(call), .done = std::move(done), .deadline = now + options.callTimeout };
+    if (waiting.empty() && send(entry, now)) {
+        return;
+    }
+    if (waiting.size() >= options.maxWaiting) {
+        ++stats.refused;
+        breaker.withdrawTrial();
+        defer(std::move(entry.done), failure(Errc::Overloaded, Verdict::NotRun));
+        return;
+    }
+    waiting.push_back(std::move(entry));
+}
+
+bool PlatformClient::Impl::send(Waiting &entry, Micros now)
+{
+    const bool write = isWrite(entry.call.verb);
+    if (!(write ? writes : reads).take(now)) {
+        return false;
+    }
+    ++(write ? stats.writes : stats.reads);
+    const std::uint64_t id = ++lastCall;
+    flying[id] = { .done = std::move(entry.done), .deadline = now + options.callTimeout, .write = write };
+    transport.call(std::move(entry.call), [weak = weak_from_this(), id](PlatformReply reply, Micros at) {
+        if (const auto self = weak.lock()) {
+            self->onReply(id, std::move(reply), at);
+        }
+    });
+    return true;
+}
+
+void PlatformClient::Impl::onReply(std::uint64_t id, PlatformReply reply, Micros now)
+{
+    if (isFailure(reply.error)) {
+        breaker.failed(now, generator);
+    } else {
+        breaker.succeeded();
+    }
+    const auto found = flying.find(id);
+    if (found == flying.end()) {
+        ++stats.lateReplies;
+        return;
+    }
+    const ReplyHandler done = std::move(found->second.done);
+    flying.erase(found);
+    done(std::move(reply), now);
+}
+
+void PlatformClient::Impl::timeOut(Micros now)
+{
+    std::vector<Flying> late;
+    for (auto it = flying.begin(); it != flying.end();) {
+        if (it->second.deadline > now) {
+            ++it;
+            continue;
+        }
+        late.push_back(std::move(it->second));
+        it = flying.erase(it);
+    }
+    for (const Flying &call : late) {
+        ++stats.timeouts;
+        breaker.failed(now, generator);
+        call.done(failure(Errc::Timeout, call.write ? Verdict::MayHaveRun : Verdict::NotRun), now);
+    }
+}
+
+void PlatformClient::Impl::sendWaiting(Micros now)
+{
+    while (!waiting.empty()) {
+        if (waiting.front().deadline <= now) {
+            ++stats.refused;
+            breaker.withdrawTrial();
+            defer(std::move(waiting.front().done), failure(Errc::Overloaded, Verdict::NotRun));
+        } else if (!send(waiting.front(), now)) {
+            return;
+        }
+        waiting.pop_front();
+    }
+}
+
+void PlatformClient::Impl::runTimers(Micros now)
+{
+    std::vector<Timer> due;
+    for (auto it = timers.begin(); it != timers.end();) {
+        if (it->at > now) {
+            ++it;
+            continue;
+        }
+        due.push_back(std::move(*it));
+        it = timers.erase(it);
+    }
+    for (const Timer &timer : due) {
+        timer.run(now);
+    }
+}
+
+// Conditional writes
+
+void PlatformClient::Impl::tryWrite(const std::shared_ptr<Write> &write, Micros now)
+{
+    call(write->call, now, [this, write](PlatformReply reply, Micros at) { onWritten(write, std::move(reply), at); });
+}
+
+void PlatformClient::Impl::retry(const std::shared_ptr<Write> &write, void (Impl::*step)(const std::shared_ptr<Write> &, Micros), Micros now)
+{
+    if (now >= write->deadline) {
+        ++stats.unresolved;
+        write->done(failure(Errc::Timeout, Verdict::MayHaveRun), now);
+        return;
+    }
+    const Micros at = std::min(now + write->backoff.next(generator), write->deadline);
+    timers.push_back({ .at = at, .run = [this, write, step](Micros due) { (this->*step)(write, due); } });
+}
+
+void PlatformClient::Impl::onWritten(const std::shared_ptr<Write> &write, PlatformReply reply, Micros now)
+{
+    if (!write->inDoubt && reply.verdict != Verdict::MayHaveRun) {
+        write->done(std::move(reply), now);
+        return;
+    }
+    if (!reply.error) {
+        write->done(std::move(reply), now);
+        return;
+    }
+    if (!write->inDoubt) {
+        write->inDoubt = true;
+        ++stats.inDoubt;
+    }
+    retry(write, &Impl::readBack, now);
+}
+
+void PlatformClient::Impl::readBack(const std::shared_ptr<Write> &write, Micros now)
+{
+    call(getCall(write->call.kind, write->call.name), now, [this, write](PlatformReply reply, Micros at) { onReadBack(write, std::move(reply), at); });
+}
+
+void PlatformClient::Impl::onReadBack(const std::shared_ptr<Write> &write, PlatformReply reply, Micros now)
+{
+    const bool creating = write->call.verb == PlatformVerb::Create;
+    if (reply.error == Errc::NotFound && creating) {
+        retry(write, &Impl::tryWrite, now);
+        return;
+    }
+    if (reply.error == Errc::NotFound) {
+        // The object was deleted after the base version; whether the write came before that is not recorded anywhere.
+        write->done(failure(Errc::Conflict, Verdict::MayHaveRun), now);
+        return;
+    }
+    if (reply.error || reply.object.version < write->call.baseVersion) {
+        retry(write, &Impl::readBack, now);
+        return;
+    }
+    if (reply.object.version == write->call.baseVersion) {
+        // A delayed write can still take effect on this base, so the outcome is open. Repeating it settles it.
+        retry(write, &Impl::tryWrite, now);
+        return;
+    }
+    const std::optional<std::string> writer = writerOn(reply.object.spec, write->call.baseVersion);
+    if (!writer) {
+        write->done(failure(Errc::Conflict, Verdict::MayHaveRun), now);
+        return;
+    }
+    if (*writer == write->identity) {
+        reply.verdict = Verdict::Ran;
+        write->done(std::move(reply), now);
+        return;
+    }
+    write->done(failure(creating ? Errc::AlreadyExists : Errc::Conflict, Verdict::NotRun), now);
+}
+
+// Public interface
+
+PlatformClient::PlatformClient(Calls calls, PlatformClientOptions options)
+    : impl_(std::make_shared<Impl>(std::move(calls), options))
+{
+}
+
+PlatformClient::~PlatformClient()
+{
+    for (const WatchId id : impl_->openWatches) {
+        impl_->transport.cancelWatch(id);
+    }
+}
+
+void PlatformClient::call(PlatformCall call, Micros now, ReplyHandler done)
+{
+    impl_->call(std::move(call), now, std::move(done));
+}
+
+void PlatformClient::update(const PlatformObject &base, Json::Value spec, Micros now, Micros deadline, ReplyHandler done)
+{
+    const std::string identity = toHex(impl_->options.seed) + "-" + std::to_string(++impl_->lastWrite);
+    spec[WritesMember] = recordWrite(base.spec.isObject() ? base.spec[WritesMember] : Json::Value(), identity, base.version);
+    const auto write = std::make_shared<Impl::Write>(Impl::Write{
+        .call = writeCall(base, std::move(spec)),
+        .identity = identity,
+        .deadline = deadline,
+        .done = std::move(done),
+        .backoff = Backoff(impl_->options.retryBase, impl_->options.retryCap),
+    });
+    impl_->tryWrite(write, now);
+}
+
+WatchId PlatformClient::watch(std::string kind, std::uint64_t from, Micros now, WatchHandler onEvent)
+{
+    impl_->reads.charge(1.0, now);
+    ++impl_->stats.watches;
+    const auto id = std::make_shared<WatchId>(0);
+    *id = impl_->transport.watch(std::move(kind), from, [weak = impl_->weak_from_this(), id, onEvent = std::move(onEvent)](WatchEvent event, Micros at) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        if (event.type == WatchEventType::Closed || event.type == WatchEventType::Gone) {
+            std::erase(self->openWatches, *id);
+        }
+        onEvent(std::move(event), at);
+    });
+    impl_->openWatches.push_back(*id);
+    return *id;
+}
+
+void PlatformClient::cancelWatch(WatchId id)
+{
+    if (std::erase(impl_->openWatches, id) > 0) {
+        impl_->transport.cancelWatch(id);
+    }
+}
+
+void PlatformClient::setCallers(double callers, Micros now)
+{
+    impl_->reads.setRate(FleetReadsPerSecond / std::max(callers, 1.0), now);
+    impl_->writes.setRate(FleetWritesPerSecond / std::max(callers, 1.0), now);
+}
+
+void PlatformClient::tick(Micros now)
+{
+    const auto keepAlive = impl_;
+    const double seconds = static_cast<double>(now - impl_->chargedAt) / static_cast<double>(MicrosPerSecond);
+    if (impl_->chargedAt != 0) {
+        impl_->reads.charge(static_cast<double>(impl_->openWatches.size()) * seconds, now);
+    }
+    impl_->chargedAt = now;
+    impl_->timeOut(now);
+    impl_->sendWaiting(now);
+    impl_->runTimers(now);
+}
+
+bool PlatformClient::available() const
+{
+    return !impl_->breaker.isOpen();
+}
+
+const PlatformStats &PlatformClient::stats() const
+{
+    return impl_->stats;
+}
+
+Generator &PlatformClient::generator()
+{
+    return impl_->generator;
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/state/src/watcher.cpp
@@ -0,0 +1,195 @@
+#include "carobhall/platform.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Carobhall
+{
+
+struct ObjectWatcher::Impl : std::enable_shared_from_this<Impl> {
+    enum class State : std::uint8_t { Idle, Listing, Watching };
+
+    Impl(PlatformClient &platform, WatcherOptions watcherOptions)
+        : client(platform)
+        , options(std::move(watcherOptions))
+        , backoff(options.retryBase, options.retryCap)
+    {
+    }
+
+    bool follows(const PlatformObject &object) const
+    {
+        return options.name.empty() || object.name == options.name;
+    }
+
+    void tick(Micros now);
+    void list(Micros now);
+    void onListed(PlatformReply reply, Micros now);
+    void openWatch(Micros now);
+    void onEvent(std::uint64_t generation, WatchEvent event, Micros now);
+    void seen(const PlatformObject &object, Micros now);
+    void retry(Micros now);
+    Micros jittered(Micros interval);
+
+    PlatformClient &client;
+    WatcherOptions options;
+    Backoff backoff;
+    State state = State::Idle;
+    bool mustList = true;
+    Micros nextStep = 0;
+    Micros relistAt = 0;
+    std::uint64_t version = 0;
+    std::uint64_t generation = 0;
+    WatchId watch = 0;
+    std::map<std::string, std::uint64_t> versions;
+};
+
+Micros ObjectWatcher::Impl::jittered(Micros interval)
+{
+    return std::uniform_int_distribution<Micros>(interval / 2, interval)(client.generator());
+}
+
+void ObjectWatcher::Impl::tick(Micros now)
+{
+    if (state == State::Idle && now >= nextStep) {
+        if (mustList) {
+            list(now);
+        } else {
+            openWatch(now);
+        }
+        return;
+    }
+    if (state == State::Watching && now >= relistAt) {
+        // An open but silent watch looks like one without changes; only a list tells them apart.
+        client.cancelWatch(watch);
+        ++generation;
+        list(now);
+    }
+}
+
+void ObjectWatcher::Impl::retry(Micros now)
+{
+    state = State::Idle;
+    nextStep = now + backoff.next(client.generator());
+}
+
+void ObjectWatcher::Impl::list(Micros now)
+{
+    state = State::Listing;
+    client.call(listCall(options.kind), now, [weak = weak_from_this()](PlatformReply reply, Micros at) {
+        if (const auto self = weak.lock()) {
+            self->onListed(std::move(reply), at);
+        }
+    });
+}
+
+void ObjectWatcher::Impl::onListed(PlatformReply reply, Micros now)
+{
+    if (reply.error || reply.listVersion < version) {
+        // A list older than what was seen comes from a stale copy.
+        retry(now);
+        return;
+    }
+    std::set<std::string> present;
+    for (const PlatformObject &object : reply.items) {
+        present.insert(object.name);
+        seen(object, now);
+    }
+    for (auto it = versions.begin(); it != versions.end();) {
+        if (present.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        if (options.onDeleted) {
+            options.onDeleted(it->first, now);
+        }
+        it = versions.erase(it);
+    }
+    version = reply.listVersion;
+    mustList = false;
+    relistAt = now + jittered(options.relistEvery);
+    openWatch(now);
+}
+
+void ObjectWatcher::Impl::openWatch(Micros now)
+{
+    state = State::Watching;
+    if (relistAt <= now) {
+        relistAt = now + jittered(options.relistEvery);
+    }
+    const std::uint64_t current = ++generation;
+    watch = client.watch(options.kind, version, now, [weak = weak_from_this(), current](WatchEvent event, Micros at) {
+        if (const auto self = weak.lock()) {
+            self->onEvent(current, std::move(event), at);
+        }
+    });
+}
+
+void ObjectWatcher::Impl::seen(const PlatformObject &object, Micros now)
+{
+    if (!follows(object)) {
+        return;
+    }
+    std::uint64_t &known = versions[object.name];
+    if (object.version <= known) {
+        return;
+    }
+    known = object.version;
+    options.onObject(object, now);
+}
+
+void ObjectWatcher::Impl::onEvent(std::uint64_t from, WatchEvent event, Micros now)
+{
+    if (from != generation) {
+        return;
+    }
+    switch (event.type) {
+    case WatchEventType::Put:
+        backoff.reset();
+        seen(event.object, now);
+        version = std::max(version, event.object.version);
+        return;
+    case WatchEventType::Deleted:
+        version = std::max(version, event.object.version);
+        if (versions.erase(event.object.name) > 0 && options.onDeleted) {
+            options.onDeleted(event.object.name, now);
+        }
+        return;
+    case WatchEventType::Gone:
+        mustList = true;
+        retry(now);
+        return;
+    case WatchEventType::Closed:
+        retry(now);
+        return;
+    }
+}
+
+ObjectWatcher::ObjectWatcher(PlatformClient &client, WatcherOptions options)
+    : impl_(std::make_shared<Impl>(client, std::move(options)))
+{
+}
+
+ObjectWatcher::~ObjectWatcher()
+{
+    ++impl_->generation;
+    if (impl_->state == Impl::State::Watching) {
+        impl_->client.cancelWatch(impl_->watch);
+    }
+}
+
+void ObjectWatcher::tick(Micros now)
+{
+    impl_->tick(now);
+}
+
+bool ObjectWatcher::isWatching() const
+{
+    return impl_->state == Impl::State::Watching;
+}
+
+std::uint64_t ObjectWatcher::version() const
+{
+    return impl_->version;
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/state/tests/claims_test.cpp
@@ -0,0 +1,381 @@
+#define BOOST_TEST_MODULE claims
+#include <boost/test/unit_test.hpp>
+
+#include "carobhall/claims.h"
+#include "fake_platform.h"
+
+#include <rapidcheck/boost_test.h>
+
+using namespace Carobhall;
+using namespace Carobhall::Testing;
+
+namespace
+{
+
+constexpr Micros Tick = 10 * MicrosPerMilli;
+constexpr Micros WallStart = Micros{ 1'800'000'000 } * MicrosPerSecond;
+
+/// An agent that claims and runs; it can crash, restart with a new incarnation, and pause.
+struct Agent {
+    Agent(FakePlatform &fakePlatform, Incarnation first)
+        : platform(fakePlatform)
+        , transport(fakePlatform)
+        , incarnation(first)
+    {
+        start();
+        tick();
+    }
+    void start()
+    {
+        client = std::make_unique<PlatformClient>(transport, PlatformClientOptions{ .seed = incarnation, .callTimeout = 300 * MicrosPerMilli });
+        ClaimsOptions options{ .environment = "guild", .holder = incarnation, .seed = incarnation };
+        options.valueLimit = valueLimit;
+        options.spentLimit = valueLimit / 2;
+        claims = std::make_unique<Claims>(*client, options);
+        claims->tick(now(), WallStart + wallShift + now());
+    }
+    void crash()
+    {
+        claims.reset();
+        client.reset();
+    }
+    void restart()
+    {
+        crash();
+        incarnation += 1000;
+        start();
+    }
+    void tick()
+    {
+        platform.time.after(Tick, [this] {
+            if (claims && now() >= transport.pausedUntil) {
+                client->tick(now());
+                claims->tick(now(), WallStart + wallShift + now());
+            }
+            tick();
+        });
+    }
+    [[nodiscard]] Micros now() const
+    {
+        return platform.time.now();
+    }
+    [[nodiscard]] bool isUp() const
+    {
+        return claims && now() >= transport.pausedUntil;
+    }
+
+    FakePlatform &platform;
+    FakeTransport transport;
+    Incarnation incarnation;
+    std::unique_ptr<PlatformClient> client;
+    std::unique_ptr<Claims> claims;
+    Micros wallShift = 0;
+    std::size_t valueLimit = PlatformValueLimit;
+};
+
+ClaimKey keyNumber(int number)
+{
+    return { .account = "needle-setters", .service = "bookings", .key = "stamp-" + std::to_string(number) };
+}
+
+/// A UUID version 7 of \p millis.
+std::string uuidAt(std::int64_t millis)
+{
+    const std::string digits = toHex(static_cast<std::uint64_t>(millis)).substr(4);
+    return digits.substr(0, 8) + "-" + digits.substr(8) + "-7000-8000-000000000001";
+}
+
+struct Step {
+    int agent = 0;
+    int key = 0;
+    int action = 0;
+    int delay = 0; ///< Milliseconds after the step before.
+};
+
+ClaimAnswer ask(Agent &agent, const ClaimKey &key, const std::string &digest = "digest")
+{
+    std::optional<ClaimAnswer> answer;
+    agent.claims->claim(key, digest, agent.now(), [&](ClaimAnswer given, Micros) { answer = std::move(given); });
+    for (int i = 0; i < 1000 && !answer; ++i) {
+        agent.platform.time.runUntil(agent.now() + Tick);
+    }
+    BOOST_REQUIRE(answer);
+    return *answer;
+}
+
+/// A whole run: what happened to each key, with the invariants asserted at each event.
+struct World {
+    World()
+        : platform(time)
+        , agents{ std::make_unique<Agent>(platform, 1), std::make_unique<Agent>(platform, 2), std::make_unique<Agent>(platform, 3) }
+    {
+    }
+
+    void claim(int index, int key, int ending)
+    {
+        Agent &agent = *agents[static_cast<std::size_t>(index)];
+        if (!agent.isUp()) {
+            return;
+        }
+        const Incarnation incarnation = agent.incarnation;
+        ++asked;
+        agent.claims->claim(keyNumber(key), "digest", time.now(), [this, &agent, incarnation, key, ending](const ClaimAnswer &answer, Micros) {
+            ++answered;
+            onAnswer(agent, incarnation, key, ending, answer);
+        });
+    }
+
+    void onAnswer(Agent &agent, Incarnation incarnation, int key, int ending, const ClaimAnswer &answer)
+    {
+        if (answer.decision == ClaimDecision::Repeat) {
+            RC_ASSERT(runs[key] == 1);
+            RC_ASSERT(answer.result.body == results[key]);
+            return;
+        }
+        if (answer.decision == ClaimDecision::Refused) {
+            RC_ASSERT(answer.verdict != Verdict::Ran || runs[key] == 1);
+            RC_ASSERT(answer.error != Errc::Conflict);
+            return;
+        }
+        if (ending == 0) {
+            // The upstream refused the connection: the call certainly did not run.
+            agent.claims->release(keyNumber(key), time.now());
+            return;
+        }
+        RC_ASSERT(++runs[key] == 1);
+        time.after(50 * MicrosPerMilli, [this, &agent, incarnation, key, ending] {
+            if (!agent.claims || agent.incarnation != incarnation) {
+                return;
+            }
+            if (ending == 1) {
+                agent.claims->giveUp(keyNumber(key), time.now());
+                return;
+            }
+            results[key] = "booked by " + std::to_string(incarnation);
+            agent.claims->finish(keyNumber(key), { .status = 201, .contentType = "text/plain", .body = results[key] }, time.now());
+        });
+    }
+
+    void act(const Step &step)
+    {
+        Agent &agent = *agents[static_cast<std::size_t>(step.agent)];
+        if (step.action == 10) {
+            crashed = true;
+            agent.crash();
+        } else if (step.action == 11 && !agent.claims) {
+            agent.restart();
+        } else if (step.action == 12) {
+            agent.transport.pausedUntil = time.now() + 3 * MicrosPerSecond;
+        } else if (step.action == 13) {
+            platform.outage = !platform.outage;
+        } else {
+            claim(step.agent, step.key, step.action);
+        }
+    }
+
+    VirtualTime time;
+    FakePlatform platform;
+    std::array<std::unique_ptr<Agent>, 3> agents;
+    std::map<int, int> runs;
+    std::map<int, std::string> results;
+    int asked = 0;
+    int answered = 0;
+    bool crashed = false;
+};
+
+Fate fateOf(int choice)
+{
+    switch (choice) {
+    case 0:
+        return { .lostThere = true };
+    case 1:
+        return { .lostBack = true };
+    case 2:
+        return { .delayThere = 800 * MicrosPerMilli };
+    case 3:
+        return { .delayThere = 4 * MicrosPerSecond };
+    default:
+        return {};
+    }
+}
+
+/// Runs \p steps with \p faults on the calls and checks what is left afterwards.
+void runWorld(const std::vector<Step> &steps, const std::vector<int> &faults, int crashAtCall, bool crashAfter)
+{
+    World world;
+    std::size_t calls = 0;
+    for (const std::unique_ptr<Agent> &agent : world.agents) {
+        agent->transport.decide = [&, raw = agent.get()](const PlatformCall &) {
+            const std::size_t call = calls++;
+            if (static_cast<int>(call) == crashAtCall) {
+                world.crashed = true;
+                world.time.after(crashAfter ? 1500 : 0, [raw] { raw->crash(); });
+            }
+            return call < faults.size() ? fateOf(faults[call]) : Fate{};
+        };
+    }
+    Micros at = world.time.now();
+    for (const Step &step : steps) {
+        at += step.delay * MicrosPerMilli;
+        world.time.at(at, [&world, step] { world.act(step); });
+    }
+    world.time.runUntil(at + 10 * MicrosPerSecond);
+
+    // Faults end. Every key must now give the first answer, run, or say truthfully that it may have run.
+    world.platform.outage = false;
+    for (const std::unique_ptr<Agent> &agent : world.agents) {
+        agent->transport.decide = nullptr;
+        if (!agent->claims) {
+            agent->restart();
+        }
+    }
+    world.time.runUntil(world.time.now() + 10 * MicrosPerSecond);
+    for (int key = 0; key < 3; ++key) {
+        const int before = world.runs[key];
+        const ClaimAnswer answer = ask(*world.agents[static_cast<std::size_t>(key)], keyNumber(key));
+        RC_ASSERT(answer.decision != ClaimDecision::Run || before == 0);
+        RC_ASSERT(answer.decision != ClaimDecision::Repeat || answer.result.body == world.results[key]);
+        RC_ASSERT(answer.decision != ClaimDecision::Refused || answer.verdict != Verdict::NotRun);
+        if (!world.crashed && before == 0) {
+            RC_ASSERT(answer.decision == ClaimDecision::Run);
+        }
+        if (!world.crashed && !world.results[key].empty()) {
+            RC_ASSERT(answer.decision == ClaimDecision::Repeat);
+        }
+    }
+    RC_ASSERT(world.crashed || world.asked == world.answered);
+}
+
+rc::Gen<std::vector<Step>> steps()
+{
+    const auto step = rc::gen::apply([](int agent, int key, int action, int delay) { return Step{ agent, key, action, delay }; }, rc::gen::inRange(0, 3),
+                                     rc::gen::inRange(0, 3), rc::gen::inRange(0, 14), rc::gen::inRange(0, 700));
+    return rc::gen::container<std::vector<Step>>(15, step);
+}
+
+} // namespace
+
+// Guards against a call that runs twice: retries through other agents, crashes, pauses, outages, lost and delayed answers.
+RC_BOOST_PROP(runsAtMostOnce, ())
+{
+    const auto faults = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 10));
+    const auto list = *rc::gen::noShrink(steps());
+    runWorld(list, faults, *rc::gen::inRange(-20, 40), *rc::gen::arbitrary<bool>());
+}
+
+// Guards against a step of the protocol where a crash or a lost answer does harm: each call in turn gets each fault.
+BOOST_AUTO_TEST_CASE(everyStepSurvivesEachFault)
+{
+    const std::vector<Step> list = {
+        { 0, 0, 5, 0 },  { 1, 0, 5, 5 },   { 0, 1, 5, 0 },   { 2, 1, 1, 2 },   { 1, 2, 0, 3 },   { 0, 2, 5, 300 },
+        { 2, 0, 5, 80 }, { 1, 1, 5, 400 }, { 0, 0, 5, 500 }, { 2, 2, 5, 100 }, { 0, 1, 5, 900 },
+    };
+    constexpr int callCount = 30;
+    for (int call = 0; call < callCount; ++call) {
+        for (int fault = 0; fault < 4; ++fault) {
+            std::vector<int> faults(callCount, 9);
+            faults[static_cast<std::size_t>(call)] = fault;
+            runWorld(list, faults, -1, false);
+            runWorld(list, faults, call, false);
+            runWorld(list, faults, call, true);
+        }
+    }
+}
+
+// Guards against a key that answers for another request, and against results that get lost.
+BOOST_AUTO_TEST_CASE(repeatsGetTheFirstAnswer)
+{
+    World world;
+    Agent &first = *world.agents[0];
+    Agent &second = *world.agents[1];
+    BOOST_REQUIRE(ask(first, keyNumber(1)).decision == ClaimDecision::Run);
+    const ClaimAnswer early = ask(second, keyNumber(1));
+    BOOST_TEST((early.verdict == Verdict::MayHaveRun));
+    BOOST_TEST((early.error == Errc::AlreadyExists));
+    first.claims->finish(keyNumber(1), { .status = 201, .contentType = "text/plain", .body = "stamp 7" }, first.now());
+    world.time.runUntil(world.time.now() + MicrosPerSecond);
+    BOOST_TEST(first.claims->isIdle());
+    BOOST_TEST(ask(second, keyNumber(1)).result.body == "stamp 7");
+    const ClaimAnswer other = ask(second, keyNumber(1), "another digest");
+    BOOST_TEST((other.error == Errc::Conflict));
+    BOOST_TEST((other.verdict == Verdict::NotRun));
+    world.platform.outage = true;
+    BOOST_TEST(ask(second, keyNumber(1)).result.body == "stamp 7");
+    const ClaimAnswer refused = ask(second, keyNumber(2));
+    BOOST_TEST((refused.verdict == Verdict::NotRun));
+    BOOST_TEST((refused.error == Errc::PlatformUnavailable));
+}
+
+// Guards against one write for each claim.
+BOOST_AUTO_TEST_CASE(claimsOfAShardShareAWrite)
+{
+    World world;
+    constexpr int count = 2000;
+    int running = 0;
+    for (int i = 0; i < count; ++i) {
+        world.agents[0]->claims->claim(keyNumber(i), "digest", world.time.now(), [&](const ClaimAnswer &answer, Micros) {
+            running += answer.decision == ClaimDecision::Run ? 1 : 0;
+        });
+    }
+    world.time.runUntil(world.time.now() + 4 * MicrosPerSecond);
+    BOOST_TEST(running == count);
+    BOOST_TEST(world.platform.writes <= ClaimShards);
+    BOOST_TEST_MESSAGE(count << " claims: " << world.platform.writes << " writes, " << world.platform.reads << " reads");
+}
+
+// Guards against a dropped claim whose key runs again, also with a process whose clock is behind.
+BOOST_AUTO_TEST_CASE(expiredKeysNeverRunAgain)
+{
+    World world;
+    Agent &first = *world.agents[0];
+    Agent &slow = *world.agents[1];
+    const std::int64_t millis = (WallStart + world.time.now()) / MicrosPerMilli;
+    ClaimKey timed = keyNumber(1);
+    timed.key = uuidAt(millis);
+    for (const ClaimKey &key : { timed, keyNumber(2) }) {
+        BOOST_REQUIRE(ask(first, key).decision == ClaimDecision::Run);
+        first.claims->finish(key, { .status = 201, .contentType = {}, .body = "done" }, first.now());
+    }
+    world.time.runUntil(world.time.now() + MicrosPerSecond);
+    first.wallShift = Micros{ 25 * 3600 } * MicrosPerSecond;
+    world.time.runUntil(world.time.now() + 2 * MicrosPerSecond);
+    // A write to each shard drops what is too old.
+    for (int i = 10; i < 500; ++i) {
+        first.claims->claim(keyNumber(i), "digest", world.time.now(), [](const ClaimAnswer &, Micros) {});
+    }
+    world.time.runUntil(world.time.now() + 3 * MicrosPerSecond);
+    for (Agent *agent : { &first, &slow }) {
+        for (const ClaimKey &key : { timed, keyNumber(2) }) {
+            const ClaimAnswer answer = ask(*agent, key);
+            BOOST_TEST((answer.decision == ClaimDecision::Refused));
+            BOOST_TEST((answer.error == Errc::KeyExpired));
+            BOOST_TEST((answer.verdict != Verdict::NotRun));
+        }
+    }
+}
+
+// Guards against a value over the platform's limit, and against keys without a time that crowd out those with one.
+BOOST_AUTO_TEST_CASE(fullShardRefusesNewKeys)
+{
+    World world;
+    Agent &agent = *world.agents[0];
+    agent.valueLimit = 16'384;
+    agent.restart();
+    int full = 0;
+    for (int i = 0; i < 3000; ++i) {
+        agent.claims->claim(keyNumber(i), "digest", world.time.now(), [&](const ClaimAnswer &answer, Micros) {
+            if (answer.decision == ClaimDecision::Refused) {
+                BOOST_TEST((answer.verdict == Verdict::NotRun));
+                BOOST_TEST((answer.error == Errc::Overloaded));
+                ++full;
+            }
+        });
+    }
+    world.time.runUntil(world.time.now() + 5 * MicrosPerSecond);
+    BOOST_TEST(full > 0);
+    for (const auto &[name, object] : world.platform.objects) {
+        const std::optional<ClaimShard> shard = decodeShard(object.spec);
+        BOOST_REQUIRE(shard);
+        BOOST_TEST(shardBytes(*shard) <= agent.valueLimit);
+    }
+}
--- /dev/null
+++ b/packages/state/tests/fake_platform.h
@@ -0,0 +1,240 @@
+#pragma once
+
+// An in-memory platform over virtual time, with faults on the way to it and back.
+
+#include "carobhall/platform.h"
+
+#include <deque>
+#include <queue>
+
+namespace Carobhall::Testing
+{
+
+/// Events in the order of their times; events of one time keep their order.
+class VirtualTime
+{
+public:
+    [[nodiscard]] Micros now() const
+    {
+        return now_;
+    }
+    void at(Micros when, std::function<void()> run)
+    {
+        events_.push({ .when = std::max(when, now_), .order = ++order_, .run = std::move(run) });
+    }
+    void after(Micros delay, std::function<void()> run)
+    {
+        at(now_ + delay, std::move(run));
+    }
+    void runUntil(Micros end)
+    {
+        while (!events_.empty() && events_.top().when <= end) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.when;
+            event.run();
+        }
+        now_ = end;
+    }
+
+private:
+    struct Event {
+        Micros when = 0;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(when, order) > std::tie(other.when, other.order);
+        }
+    };
+    std::priority_queue<Event> events_;
+    Micros now_ = MicrosPerSecond;
+    std::uint64_t order_ = 0;
+};
+
+/// What happens to one call on its way.
+struct Fate {
+    Micros delayThere = MicrosPerMilli;
+    Micros delayBack = MicrosPerMilli;
+    bool lostThere = false;
+    bool lostBack = false; ///< The call takes effect and its answer never arrives.
+};
+
+class FakePlatform
+{
+public:
+    explicit FakePlatform(VirtualTime &clock)
+        : time(clock)
+    {
+    }
+
+    PlatformReply run(const PlatformCall &call)
+    {
+        PlatformReply reply;
+        if (outage) {
+            reply.error = Errc::PlatformUnavailable;
+            reply.verdict = isWrite(call.verb) ? Verdict::MayHaveRun : Verdict::NotRun;
+            return reply;
+        }
+        ++(isWrite(call.verb) ? writes : reads);
+        const auto found = objects.find({ call.kind, call.name });
+        switch (call.verb) {
+        case PlatformVerb::Get:
+            if (found == objects.end()) {
+                reply.error = Errc::NotFound;
+            } else {
+                reply.object = found->second;
+            }
+            return reply;
+        case PlatformVerb::List:
+            reply.listVersion = version;
+            for (const auto &[key, object] : objects) {
+                if (key.first == call.kind) {
+                    reply.items.push_back(object);
+                }
+            }
+            return reply;
+        case PlatformVerb::Create:
+            if (found != objects.end()) {
+                reply.error = Errc::AlreadyExists;
+                return reply;
+            }
+            break;
+        case PlatformVerb::Update:
+        case PlatformVerb::Delete:
+            if (found == objects.end()) {
+                reply.error = Errc::NotFound;
+                return reply;
+            }
+            if (found->second.version != call.baseVersion) {
+                reply.error = Errc::Conflict;
+                return reply;
+            }
+            break;
+        }
+        reply.verdict = Verdict::Ran;
+        put(call, reply);
+        return reply;
+    }
+
+    void put(const PlatformCall &call, PlatformReply &reply)
+    {
+        reply.object = { .kind = call.kind, .name = call.name, .uid = "uid", .version = ++version, .spec = call.spec };
+        const bool deleted = call.verb == PlatformVerb::Delete;
+        if (deleted) {
+            objects.erase({ call.kind, call.name });
+        } else {
+            objects[{ call.kind, call.name }] = reply.object;
+        }
+        const WatchEvent event{ .type = deleted ? WatchEventType::Deleted : WatchEventType::Put, .object = reply.object };
+        history.push_back(event);
+        for (auto &[id, watch] : watches) {
+            deliver(watch, event);
+        }
+        if (onChange) {
+            onChange(reply.object);
+        }
+    }
+
+    struct Watch {
+        std::string kind;
+        Micros delay = 0;
+        WatchHandler handler;
+    };
+
+    void deliver(const Watch &watch, const WatchEvent &event) const
+    {
+        if (event.object.kind != watch.kind && event.type != WatchEventType::Gone && event.type != WatchEventType::Closed) {
+            return;
+        }
+        time.after(watch.delay + slowness, [event, handler = watch.handler, &clock = time] { handler(event, clock.now()); });
+    }
+
+    void endWatches(WatchEventType type)
+    {
+        for (const auto &[id, watch] : watches) {
+            deliver(watch, { .type = type, .object = {} });
+        }
+        watches.clear();
+    }
+
+    VirtualTime &time;
+    std::map<std::pair<std::string, std::string>, PlatformObject> objects;
+    std::map<WatchId, Watch> watches;
+    std::vector<WatchEvent> history;
+    std::uint64_t version = 0;
+    std::uint64_t oldestVersion = 0; ///< A watch from before it is gone.
+    WatchId lastWatch = 0;
+    bool outage = false;
+    Micros slowness = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::function<void(const PlatformObject &)> onChange;
+};
+
+/// One process's way to the platform.
+class FakeTransport
+{
+public:
+    explicit FakeTransport(FakePlatform &target)
+        : platform(target)
+    {
+    }
+
+    void call(PlatformCall call, ReplyHandler done)
+    {
+        const Fate fate = decide ? decide(call) : Fate{ .delayThere = latency, .delayBack = latency };
+        if (fate.lostThere || cut) {
+            return;
+        }
+        platform.time.after(fate.delayThere, [this, fate, call = std::move(call), done = std::move(done)] {
+            PlatformReply reply = platform.run(call);
+            if (fate.lostBack || cut) {
+                return;
+            }
+            deliver(platform.time.now() + fate.delayBack + platform.slowness, std::move(reply), done);
+        });
+    }
+
+    /// Answers that reach a paused process wait until it goes on.
+    void deliver(Micros when, PlatformReply reply, const ReplyHandler &done)
+    {
+        platform.time.at(when, [this, reply = std::move(reply), done] {
+            if (platform.time.now() < pausedUntil) {
+                deliver(pausedUntil, reply, done);
+            } else {
+                done(reply, platform.time.now());
+            }
+        });
+    }
+
+    WatchId watch(std::string kind, std::uint64_t from, WatchHandler handler)
+    {
+        const WatchId id = ++platform.lastWatch;
+        FakePlatform::Watch entry{ .kind = std::move(kind), .delay = latency, .handler = std::move(handler) };
+        if (platform.outage || cut || from < platform.oldestVersion) {
+            platform.deliver(entry, { .type = platform.outage || cut ? WatchEventType::Closed : WatchEventType::Gone, .object = {} });
+            return id;
+        }
+        for (const WatchEvent &event : platform.history) {
+            if (event.object.version > from) {
+                platform.deliver(entry, event);
+            }
+        }
+        platform.watches[id] = std::move(entry);
+        return id;
+    }
+
+    void cancelWatch(WatchId id)
+    {
+        platform.watches.erase(id);
+    }
+
+    FakePlatform &platform;
+    Micros latency = MicrosPerMilli;
+    Micros pausedUntil = 0;
+    bool cut = false; ///< Cut off from the platform: everything is lost.
+    std::function<Fate(const PlatformCall &)> decide;
+};
+
+} // namespace Carobhall::Testing
--- /dev/null
+++ b/packages/state/tests/platform_test.cpp
@@ -0,0 +1,180 @@
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+
+#include "fake_platform.h"
+
+#include <rapidcheck/boost_test.h>
+
+using namespace Carobhall;
+using namespace Carobhall::Testing;
+
+namespace
+{
+
+constexpr Micros Tick = 10 * MicrosPerMilli;
+
+struct Process {
+    Process(FakePlatform &platform, std::uint64_t seed)
+        : transport(platform)
+        , client(transport, { .seed = seed })
+    {
+        tick(platform.time);
+    }
+    void tick(VirtualTime &time)
+    {
+        time.after(Tick, [this, &time] {
+            client.tick(time.now());
+            if (onTick) {
+                onTick();
+            }
+            tick(time);
+        });
+    }
+
+    FakeTransport transport;
+    PlatformClient client;
+    std::function<void()> onTick;
+};
+
+/// One fault for one call, from a small number.
+Fate fateOf(int choice)
+{
+    switch (choice) {
+    case 0:
+        return { .lostThere = true };
+    case 1:
+        return { .lostBack = true };
+    case 2:
+        return { .delayThere = 1500 * MicrosPerMilli }; // Takes effect after the client has given the call up.
+    case 3:
+        return { .delayBack = 1500 * MicrosPerMilli };
+    default:
+        return {};
+    }
+}
+
+} // namespace
+
+// Guards against a conditional write that is reported as not run although it took effect, or the other way round.
+RC_BOOST_PROP(outcomesOfConditionalWritesAreTrue, ())
+{
+    VirtualTime time;
+    FakePlatform platform(time);
+    Process first(platform, 1);
+    Process second(platform, 2);
+    const auto faults = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 9));
+    std::size_t used = 0;
+    const auto decide = [&](const PlatformCall &) { return used < faults.size() ? fateOf(faults[used++]) : Fate{}; };
+    first.transport.decide = decide;
+    second.transport.decide = decide;
+
+    std::map<std::string, int> applied;
+    platform.onChange = [&](const PlatformObject &object) { ++applied[object.spec["mark"].asString()]; };
+    struct Outcome {
+        std::string mark;
+        Verdict verdict;
+    };
+    std::vector<Outcome> outcomes;
+    int marks = 0;
+    std::function<void(Process &)> writeOnce = [&](Process &process) {
+        process.client.call(getCall("things", "one"), time.now(), [&](PlatformReply read, Micros now) {
+            if (read.error && read.error != Errc::NotFound) {
+                return;
+            }
+            PlatformObject base = read.error ? PlatformObject{ .kind = "things", .name = "one", .uid = {}, .spec = {} } : read.object;
+            Json::Value spec(Json::objectValue);
+            const std::string mark = std::to_string(++marks);
+            spec["mark"] = mark;
+            process.client.update(base, spec, now, now + 20 * MicrosPerSecond,
+                                  [&outcomes, mark](const PlatformReply &reply, Micros) { outcomes.push_back({ .mark = mark, .verdict = reply.verdict }); });
+        });
+    };
+    for (int i = 0; i < 8; ++i) {
+        time.after(i * 700 * MicrosPerMilli, [&, i] { writeOnce(i % 2 == 0 ? first : second); });
+    }
+    time.runUntil(60 * MicrosPerSecond);
+    RC_ASSERT(outcomes.size() == static_cast<std::size_t>(marks));
+    for (const Outcome &outcome : outcomes) {
+        RC_ASSERT(applied[outcome.mark] <= 1);
+        RC_ASSERT(outcome.verdict != Verdict::MayHaveRun);
+        RC_ASSERT((outcome.verdict == Verdict::Ran) == (applied[outcome.mark] == 1));
+    }
+}
+
+// Guards against changes that are missed when a watch breaks, falls silent or starts too late.
+BOOST_AUTO_TEST_CASE(watcherSeesEveryLastVersion)
+{
+    VirtualTime time;
+    FakePlatform platform(time);
+    Process process(platform, 1);
+    std::uint64_t seen = 0;
+    WatcherOptions options{ .kind = "things", .name = {}, .onObject = {}, .onDeleted = {} };
+    options.onObject = [&](const PlatformObject &object, Micros) {
+        BOOST_REQUIRE(object.version > seen);
+        seen = object.version;
+    };
+    ObjectWatcher watcher(process.client, options);
+    process.onTick = [&] { watcher.tick(time.now()); };
+    const auto change = [&] {
+        PlatformReply reply;
+        platform.put(writeCall({ .kind = "things", .name = "one", .uid = {}, .spec = {} }, Json::Value(Json::objectValue)), reply);
+        return reply.object.version;
+    };
+    const auto run = [&](Micros duration) { time.runUntil(time.now() + duration); };
+    run(MicrosPerSecond);
+    std::uint64_t last = change();
+    run(MicrosPerSecond);
+    BOOST_TEST(seen == last);
+
+    platform.endWatches(WatchEventType::Closed);
+    last = change();
+    run(3 * MicrosPerSecond);
+    BOOST_TEST(seen == last);
+
+    platform.endWatches(WatchEventType::Closed);
+    last = change();
+    platform.history.clear();
+    platform.oldestVersion = last + 1;
+    run(3 * MicrosPerSecond);
+    BOOST_TEST(seen == last);
+
+    platform.watches.clear(); // The watch stays open and says nothing.
+    platform.oldestVersion = 0;
+    last = change();
+    run(40 * MicrosPerSecond);
+    BOOST_TEST(seen == last);
+}
+
+// Guards against a fleet that overloads the platform, in an outage and out of it.
+BOOST_AUTO_TEST_CASE(callsAreBounded)
+{
+    VirtualTime time;
+    FakePlatform platform(time);
+    Process process(platform, 1);
+    process.client.setCallers(100, time.now());
+    int issued = 0;
+    process.transport.decide = [&](const PlatformCall &) {
+        ++issued;
+        return Fate{};
+    };
+    const auto callOften = [&](int seconds) {
+        issued = 0;
+        const Micros end = time.now() + seconds * MicrosPerSecond;
+        while (time.now() < end) {
+            process.client.call(getCall("things", "one"), time.now(), [](const PlatformReply &, Micros) {});
+            time.runUntil(time.now() + Tick);
+        }
+        return issued;
+    };
+    const int healthy = callOften(10);
+    BOOST_TEST(healthy <= 20 + 160 + 1); // Burst, and a hundredth of the fleet's 1,600 reads a second.
+    platform.outage = true;
+    const int during = callOften(60);
+    BOOST_TEST(during <= 300);
+    BOOST_TEST(!process.client.available());
+    platform.outage = false;
+    time.runUntil(time.now() + 2 * MicrosPerSecond);
+    callOften(2);
+    BOOST_TEST(process.client.available());
+    BOOST_TEST_MESSAGE("calls in 10 s: " << healthy << ", in an outage of 60 s: " << during);
+}
