Add the request path: entry process and agent

Cause: requests need a way from callers over HTTP to an upstream and back.

Change: carobhall_runtime (timers, JSON, admin listener, document holder), carobhall_agent (attempt table, queue, claims, upstream calls, resumable output) and carobhall_entry (HTTP front, accounts, dispatcher with retries by verdict, agent links, probing). Submit gains a window, and credit counts a fixed overhead for each piece, so that memory stays bounded.

Ruled out: kept-alive connections to upstreams, because a call on one that closes at that moment may or may not have run, and libsoup sends some requests again by itself.

Result: path_test passes: 6 cases over in-process fakes (byte-exact stream, whole answers, plain service, malformed input, continuation after an engine crash, error event on a broken stream).

--- /dev/null
+++ b/packages/agent/runtime/src/glib.cpp
@@ -0,0 +1,85 @@
+#include "carobhall/runtime.h"
+
+#include <glib-unix.h>
+
+namespace Carobhall
+{
+
+struct Timer::Slot {
+    Timer *owner = nullptr; ///< Cleared when the timer is stopped while its action runs.
+    guint source = 0;
+    bool repeats = false;
+    std::function<void()> action;
+
+    static gboolean dispatch(gpointer data)
+    {
+        auto *const slot = static_cast<Slot *>(data);
+        if (slot->repeats) {
+            slot->action();
+            return G_SOURCE_CONTINUE;
+        }
+        // The action may start this timer again or destroy it.
+        slot->owner->slot_ = nullptr;
+        slot->owner = nullptr;
+        slot->action();
+        return G_SOURCE_REMOVE;
+    }
+};
+
+Timer::~Timer()
+{
+    stop();
+}
+
+void Timer::startOnce(Micros delay, std::function<void()> action)
+{
+    start(delay, false, std::move(action));
+}
+
+void Timer::startRepeating(Micros interval, std::function<void()> action)
+{
+    start(interval, true, std::move(action));
+}
+
+void Timer::stop()
+{
+    if (slot_ != nullptr) {
+        Slot *const slot = slot_;
+        slot_ = nullptr;
+        slot->owner = nullptr;
+        // GLib keeps the slot alive until a running action returns.
+        g_source_remove(slot->source);
+    }
+}
+
+bool Timer::isActive() const
+{
+    return slot_ != nullptr;
+}
+
+void Timer::start(Micros delay, bool repeats, std::function<void()> action)
+{
+    stop();
+    slot_ = new Slot{ .owner = this, .source = 0, .repeats = repeats, .action = std::move(action) };
+    const auto milliseconds = static_cast<guint>((std::max<Micros>(delay, 0) + MicrosPerMilli - 1) / MicrosPerMilli);
+    slot_->source = g_timeout_add_full(G_PRIORITY_DEFAULT, milliseconds, &Slot::dispatch, slot_, [](gpointer data) { delete static_cast<Slot *>(data); });
+}
+
+SignalWatch::SignalWatch(int signalNumber, std::function<void()> action)
+    : action_(std::move(action))
+{
+    source_ = g_unix_signal_add(
+        signalNumber,
+        [](gpointer data) -> gboolean {
+            static_cast<SignalWatch *>(data)->action_();
+            return G_SOURCE_CONTINUE;
+        },
+        this);
+}
+
+SignalWatch::~SignalWatch()
+{
+    g_source_remove(source_);
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/agent/src/attempt_table.h
@@ -0,0 +1,106 @@
+#pragma once
+
+// The attempts that the agent knows: waiting, running, or ended but perhaps not received by the entry process yet.
+
+#include "output_buffer.h"
+#include "upstream_call.h"
+
+#include <unordered_map>
+
+namespace Carobhall
+{
+
+enum class AttemptState : std::uint8_t {
+    Queued,
+    Claiming, ///< Has left the queue and waits for its Idempotency-Key.
+    Running,
+    Ended,
+};
+
+template<>
+struct EnumNames<AttemptState> {
+    static constexpr std::array rows{
+        EnumName{ AttemptState::Queued, "queued" },
+        EnumName{ AttemptState::Claiming, "claiming" },
+        EnumName{ AttemptState::Running, "running" },
+        EnumName{ AttemptState::Ended, "ended" },
+    };
+};
+
+/// How an attempt ended, as it is told to the entry process.
+using Outcome = std::variant<Refused, End>;
+
+struct Attempt {
+    AttemptId id;
+    Submit submit;
+    OutputBuffer output;
+    ConnectionId connection = 0; ///< 0: broken, and not established again yet.
+    ConnectionId lastConnection = 0;
+    AttemptState state = AttemptState::Queued;
+    Micros receivedAt = 0;
+    Micros startedAt = 0;  ///< Left the queue.
+    Micros orphanedAt = 0; ///< The connection broke.
+    Micros endedAt = 0;
+    std::unique_ptr<UpstreamCall> call;
+    std::optional<Head> head;
+    bool headSent = false;
+    std::optional<Outcome> outcome;
+    bool outcomeSent = false;
+    bool claimed = false;
+    bool abandoned = false; ///< Nobody waits for the answer, but the call must not be broken off.
+    std::string answerBody; ///< Of a claimed call, to answer its repeats.
+};
+
+/// Not thread-safe.
+class AttemptTable
+{
+public:
+    /// Precondition: the table does not know the attempt.
+    Attempt &add(std::unique_ptr<Attempt> attempt);
+    [[nodiscard]] Attempt *find(const AttemptId &id);
+
+    /// Removes the attempt, and remembers it for a while with the verdict that a repeated Submit gets.
+    void forget(const AttemptId &id, Verdict verdict, Micros now);
+    /// The verdict of an attempt that was forgotten, or of one that was cancelled before it arrived.
+    [[nodiscard]] std::optional<Verdict> forgotten(const AttemptId &id) const;
+    void dropOldTombstones(Micros now);
+
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::size_t tombstoneCount() const;
+
+    /// Calls \p visit with each attempt; it may forget attempts.
+    template<typename Visit>
+    void each(Visit visit)
+    {
+        std::vector<AttemptId> ids;
+        ids.reserve(attempts_.size());
+        for (const auto &[id, attempt] : attempts_) {
+            ids.push_back(id);
+        }
+        for (const AttemptId &id : ids) {
+            if (Attempt *const attempt = find(id); attempt != nullptr) {
+                visit(*attempt);
+            }
+        }
+    }
+
+    template<typename Visit>
+    void eachConst(Visit visit) const
+    {
+        for (const auto &[id, attempt] : attempts_) {
+            visit(*attempt);
+        }
+    }
+
+private:
+    struct Tombstone {
+        Verdict verdict = Verdict::MayHaveRun;
+        Micros at = 0;
+    };
+
+    std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts_;
+    std::unordered_map<AttemptId, Tombstone> tombstones_;
+    std::deque<std::pair<Micros, AttemptId>> tombstoneOrder_;
+};
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/agent/src/engine_request.h
@@ -0,0 +1,14 @@
+#pragma once
+
+// Turns a Submit into the HTTP request that the upstream gets.
+
+#include "upstream_call.h"
+
+namespace Carobhall
+{
+
+/// The request for \p submit; the URL is left to the upstream client. An engine's request gets streaming, priority, cache
+/// salt, identity and the place to resume from. Thread-safe.
+[[nodiscard]] UpstreamRequest upstreamRequestFor(const Submit &submit, bool isModel);
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/entry/src/http_front.cpp
@@ -0,0 +1,205 @@
+#include "http_front.h"
+
+namespace Carobhall
+{
+
+namespace
+{
+
+constexpr const char *IntakeKey = "carobhall-intake";
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+std::string headerOf(SoupServerMessage *message, const char *name)
+{
+    const char *const value = soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+std::string textOrEmpty(const char *text)
+{
+    return text == nullptr ? std::string() : std::string(text);
+}
+
+void closeConnection(SoupServerMessage *message)
+{
+    if (GSocket *const socket = soup_server_message_get_socket(message); socket != nullptr) {
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+}
+
+} // namespace
+
+HttpFront::HttpFront(HttpFrontOptions options)
+    : options_(options)
+    , server_(soup_server_new("server-header", "carobhall", "raw-paths", TRUE, nullptr))
+    , accounts_(std::make_unique<AccountTable>(options.document.current()->document))
+{
+    options_.document.onReplaced([this](const VersionedDocument &document) { accounts_ = std::make_unique<AccountTable>(document.document); });
+    g_signal_connect(server_.get(), "request-started", G_CALLBACK(&HttpFront::onStarted), this);
+    soup_server_add_early_handler(server_.get(), nullptr, &HttpFront::onHeaders, this, nullptr);
+    soup_server_add_handler(server_.get(), nullptr, &HttpFront::onRequest, this, nullptr);
+}
+
+HttpFront::~HttpFront()
+{
+    soup_server_disconnect(server_.get());
+}
+
+std::error_code HttpFront::listen()
+{
+    return listenHttp(server_.get(), options_.settings.callerAddress, port_);
+}
+
+std::uint16_t HttpFront::port() const
+{
+    return port_;
+}
+
+void HttpFront::beginLeaving()
+{
+    leaving_ = true;
+}
+
+std::size_t HttpFront::openRequests() const
+{
+    return openRequests_;
+}
+
+void HttpFront::onStarted(SoupServer * /*server*/, SoupServerMessage *message, gpointer self)
+{
+    auto *const front = static_cast<HttpFront *>(self);
+    auto *const intake = new Intake;
+    intake->front = front;
+    intake->message = message;
+    g_object_set_data_full(G_OBJECT(message), IntakeKey, intake, [](gpointer data) { delete static_cast<Intake *>(data); });
+    g_signal_connect(message, "got-chunk", G_CALLBACK(&HttpFront::onBodyPart), intake);
+    g_signal_connect(message, "finished", G_CALLBACK(&HttpFront::onFinished), intake);
+    // An idle connection and one that sends its headers slowly look the same; both end after the time limit.
+    intake->timeout.startOnce(front->options_.settings.bodyTimeout, [front, message] {
+        front->options_.metrics.count("carobhall_entry_slow_requests_total");
+        closeConnection(message);
+    });
+}
+
+void HttpFront::onHeaders(SoupServer * /*server*/, SoupServerMessage *message, const char * /*path*/, GHashTable * /*query*/, gpointer self)
+{
+    if (auto *const intake = static_cast<Intake *>(g_object_get_data(G_OBJECT(message), IntakeKey)); intake != nullptr) {
+        static_cast<HttpFront *>(self)->checkHeaders(*intake);
+    }
+}
+
+void HttpFront::checkHeaders(Intake &intake)
+{
+    intake.arrivedAt = monotonicNow();
+    intake.open = true;
+    ++openRequests_;
+    SoupMessageHeaders *const headers = soup_server_message_get_request_headers(intake.message);
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(intake.message), FALSE);
+    if (soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH
+        && static_cast<std::uint64_t>(soup_message_headers_get_content_length(headers)) > options_.settings.maxBodyBytes) {
+        intake.tooLarge = true;
+    }
+}
+
+void HttpFront::onBodyPart(SoupServerMessage *message, GBytes *part, gpointer data)
+{
+    auto &intake = *static_cast<Intake *>(data);
+    gsize size = 0;
+    const auto *const bytes = static_cast<const char *>(g_bytes_get_data(part, &size));
+    if (intake.tooLarge || intake.body.size() + size > intake.front->options_.settings.maxBodyBytes) {
+        // The rest is read and dropped until the time limit, so that the caller reads the answer instead of a reset.
+        intake.tooLarge = true;
+        intake.body.clear();
+        intake.body.shrink_to_fit();
+        return;
+    }
+    (void)message;
+    intake.body.append(bytes, size);
+}
+
+void HttpFront::onFinished(SoupServerMessage * /*message*/, gpointer data)
+{
+    auto &intake = *static_cast<Intake *>(data);
+    intake.timeout.stop();
+    if (intake.open) {
+        intake.open = false;
+        --intake.front->openRequests_;
+    }
+    if (intake.number != 0) {
+        intake.front->options_.dispatcher.callerGone(intake.number);
+    }
+}
+
+void HttpFront::onRequest(SoupServer * /*server*/, SoupServerMessage *message, const char *path, GHashTable * /*query*/, gpointer self)
+{
+    if (auto *const intake = static_cast<Intake *>(g_object_get_data(G_OBJECT(message), IntakeKey)); intake != nullptr) {
+        intake->timeout.stop();
+        static_cast<HttpFront *>(self)->handle(*intake, path);
+    }
+}
+
+const AccountSpec *HttpFront::accountOf(SoupServerMessage *message) const
+{
+    const std::string authorization = headerOf(message, "Authorization");
+    if (!authorization.starts_with(BearerPrefix)) {
+        return nullptr;
+    }
+    return accounts_->authenticate(std::string_view(authorization).substr(BearerPrefix.size()));
+}
+
+void HttpFront::refuse(const Intake &intake, const Failure &failure)
+{
+    const std::string_view code = nameOf(static_cast<Errc>(failure.error.value()));
+    options_.metrics.count("carobhall_entry_refused_total", "error=\"" + std::string(code) + "\"");
+    logEvent(LogLevel::Info, "request_refused", { { "error", failure.error }, { "message", failure.message } });
+    answerFailure(intake.message, failure);
+}
+
+void HttpFront::handle(Intake &intake, const char *path)
+{
+    SoupServerMessage *const message = intake.message;
+    if (leaving_) {
+        soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
+        refuse(intake, { .error = Errc::Leaving, .message = "this entry process is shutting down" });
+        return;
+    }
+    const AccountSpec *const account = accountOf(message);
+    if (account == nullptr) {
+        refuse(intake, { .error = Errc::AuthenticationFailed, .message = "the bearer key is missing or unknown" });
+        return;
+    }
+    if (intake.tooLarge) {
+        refuse(intake, { .error = Errc::TooLarge, .message = "the body is longer than " + std::to_string(options_.settings.maxBodyBytes) + " bytes" });
+        return;
+    }
+    const auto document = options_.document.current();
+    const std::string method = textOrEmpty(soup_server_message_get_method(message));
+    if (method == "GET" && std::string_view(path) == "/v1/models") {
+        const std::string list = modelList(document->document);
+        soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+        soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, list.data(), list.size());
+        return;
+    }
+    auto checked = checkRequest(
+        {
+            .method = method,
+            .path = path,
+            .query = textOrEmpty(g_uri_get_query(soup_server_message_get_uri(message))),
+            .contentType = headerOf(message, "Content-Type"),
+            .idempotencyKey = headerOf(message, "Idempotency-Key"),
+            .body = std::move(intake.body),
+            .arrivedAt = intake.arrivedAt,
+        },
+        *account, document->document);
+    if (const auto *const failure = std::get_if<Failure>(&checked)) {
+        refuse(intake, *failure);
+        return;
+    }
+    soup_server_message_pause(message);
+    Request &request = options_.dispatcher.add(std::move(std::get<CallerRequest>(checked)));
+    intake.number = request.number;
+    request.reply = std::make_unique<ReplyWriter>(message, request.call, "req-" + toHex(request.attempt.entry) + "-" + std::to_string(request.number));
+    options_.dispatcher.start(request);
+}
+
+} // namespace Carobhall
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -135,11 +135,12 @@
     Micros timeout = 0;             ///< The upstream call must start within this time from the agent's receipt.
     std::uint64_t resumeOffset = 0; ///< Tokens or bytes that the caller already has.
     std::string resumeText;         ///< Text of the tokens that the caller already has, to continue on another engine.
-    std::uint64_t creditTotal = 0;  ///< Bytes that the agent may send before the first Credit.
+    std::uint64_t creditTotal = 0;  ///< Sum of creditCost() that the agent may send before the first Credit.
     bool alone = false;             ///< Run with nothing else on the upstream, because the request is suspected.
+    std::uint64_t window = 0;       ///< Most credit that is ever outstanding; output older than that has been received.
 
     MSGPACK_DEFINE(key, agent, upstream, account, rank, repeatable, idempotencyKey, route, weightsVersion, adapter, method, path, contentType, body, salt,
-                   fingerprint, promptPieces, maxTokens, timeout, resumeOffset, resumeText, creditTotal, alone)
+                   fingerprint, promptPieces, maxTokens, timeout, resumeOffset, resumeText, creditTotal, alone, window)
 };
 
 /// The agent did not take the attempt, or gave it up before an answer began.
@@ -185,15 +186,24 @@
     MSGPACK_DEFINE(key, finalOffset, complete, verdict, error, finishReason, message)
 };
 
+/// What each piece counts against the credit beyond its bytes: about what it occupies in memory.
+inline constexpr std::size_t PieceOverheadBytes = 64;
+
+/// What \p piece counts against the credit.
+[[nodiscard]] inline std::uint64_t creditCost(const std::string &piece)
+{
+    return piece.size() + PieceOverheadBytes;
+}
+
 /// The entry process can take this many bytes in total for the attempt. Absolute, so that a repeat does no harm.
 struct Credit {
     AttemptKey key;
-    std::uint64_t total = 0;
+    std::uint64_t total = 0; ///< Sum of creditCost(), from the offset in the last Submit.
 
     MSGPACK_DEFINE(key, total)
 };
 
-/// The caller left, or another attempt won.
+/// The entry process needs nothing more of the attempt: it has received the outcome, the caller left, or another attempt won.
 struct Cancel {
     AttemptKey key;
 
