--- a/packages/agent/runtime/include/carobhall/runtime.h
+++ b/packages/agent/runtime/include/carobhall/runtime.h
@@ -9,6 +9,7 @@
 //   3. HTTP              listening, operators' listener
 //   4. Document          the environment document in effect
 //   5. Fleet keys        from settings
+//   6. Start-up          command line, settings and first document of a program
 
 #include "carobhall/document.h"
 #include "carobhall/settings.h"
@@ -18,6 +19,7 @@
 #include <json/value.h>
 #include <libsoup/soup.h>
 
+#include <csignal>
 #include <functional>
 
 namespace Carobhall
@@ -171,4 +173,39 @@
 /// The keys in \p settings, or nothing when there is none or one is not 64 hexadecimal digits. Thread-safe.
 [[nodiscard]] std::optional<FleetKeys> fleetKeysFrom(const std::vector<FleetKeySetting> &settings);
 
+// 6. Start-up -------------------------------------------------------------------------------------
+
+/// What a program starts from.
+template<typename Settings>
+struct StartUp {
+    Settings settings;
+    VersionedDocument document;
+};
+
+/// Reads "--settings FILE [--set PATH=VALUE]...", the environment's overrides, the settings and the document that they
+/// name. Writes errors and help to the terminal and then returns the exit code instead.
+[[nodiscard]] std::variant<StartUp<EntrySettings>, ExitCode> startUpEntry(int argc, char **argv);
+[[nodiscard]] std::variant<StartUp<AgentSettings>, ExitCode> startUpAgent(int argc, char **argv);
+
+/// Runs the main loop of a program until \p process has stopped. SIGTERM and SIGINT begin a graceful shutdown, SIGUSR1
+/// writes the dump to the log. \p process has start(), beginShutdown() and dump(); its onStopped quits \p loop.
+template<typename Process>
+[[nodiscard]] ExitCode runProcess(Process &process, GMainLoop *loop);
+
+[[nodiscard]] ExitCode exitCodeOf(std::error_code startError);
+
+template<typename Process>
+ExitCode runProcess(Process &process, GMainLoop *loop)
+{
+    const SignalWatch terminate(SIGTERM, [&] { process.beginShutdown(); });
+    const SignalWatch interrupt(SIGINT, [&] { process.beginShutdown(); });
+    const SignalWatch dump(SIGUSR1, [&] { logEvent(LogLevel::Info, "dump", { { "state", writeJson(process.dump()) } }); });
+    if (const std::error_code error = process.start()) {
+        logEvent(LogLevel::Error, "start_failed", { { "error", error } });
+        return exitCodeOf(error);
+    }
+    g_main_loop_run(loop);
+    return ExitCode::Success;
+}
+
 } // namespace Carobhall
