Put admission, cache index, suspects and claims into the agent

Cause: the agent ran with a first-in-first-out queue, claims in memory, no knowledge of the engine's cache and no record of crashes.

Change: - AttemptQueue puts Admission<FairOrder> behind attempt identities: floors and shares come from the document, the cost is uncached pieces plus the token limit (the mean of seen answers when none is stated), corrected by the answer's head and at the end. While the poll is broken the index counts for nothing. PrefixState adds single-flight and the learned prefill time; a follower waits in its slot, bounded by the flight's expected end and by its own deadline. - The end of a broken model call waits until GET /load says whether the engine is gone (1 s at most); a crash is noted before any outcome leaves the agent. Facts leave through AgentOptions::onSuspect and arrive by mergeSuspect(). - PlatformClaims puts state's Claims over SoupTransport; without a platform address keyed calls that must not be repeated are refused as not run. A claim granted after the deadline or for a caller that has left is released.

cache_salt is sent as a decimal number and Cached-Pieces is read, as the engine stand-in defines them. The fake engine of the entry tests answers 404 under /kv/, because those polls counted as calls.

Ruled out: holding a follower before it is queued, because most leaders start after their followers arrive.

--- a/packages/agent/include/carobhall/agent.h
+++ b/packages/agent/include/carobhall/agent.h
@@ -10,6 +10,7 @@
 // Everything is used from the thread that iterates GLib's default main context.
 
 #include "carobhall/runtime.h"
+#include "carobhall/suspects.h"
 
 namespace Carobhall
 {
@@ -17,7 +18,9 @@
 struct AgentOptions {
     AgentSettings settings;
     VersionedDocument document;
-    std::function<void()> onStopped; ///< A graceful shutdown is complete, or its deadline has passed.
+    std::function<void()> onStopped;                      ///< A graceful shutdown is complete, or its deadline has passed.
+    std::function<void(const SuspectFact &)> onSuspect{}; ///< A fact that other processes should know; may be empty.
+    Micros stallLimit = 30 * MicrosPerSecond;             ///< An answer of which nothing is taken this long is cancelled.
 };
 
 class Agent
@@ -36,6 +39,9 @@
     /// Refuses new work as not run, finishes what was accepted, then calls onStopped. Repeated calls do nothing.
     void beginShutdown();
 
+    /// Another process says that a request was in flight at a crash.
+    void mergeSuspect(const SuspectFact &fact);
+
     [[nodiscard]] std::uint16_t wirePort() const;
     [[nodiscard]] std::uint16_t adminPort() const;
     [[nodiscard]] Incarnation incarnation() const;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/agent.h"
 #include "attempt_runner.h"
+#include "cache_feed.h"
 
 namespace Carobhall
 {
@@ -7,7 +8,32 @@
 namespace
 {
 
-constexpr Micros TickInterval = 20 * MicrosPerMilli;
+constexpr Micros TickInterval = 10 * MicrosPerMilli;
+
+/// Agents that may make claims: those beside servers of services with calls that must not be repeated.
+double countClaimers(const EnvironmentDocument &document)
+{
+    std::size_t count = 0;
+    for (const PlainServiceSpec &service : document.services) {
+        const bool claims = std::any_of(service.routes.begin(), service.routes.end(), [](const RouteSpec &route) { return !route.repeatable; });
+        count += claims ? service.servers.size() : 0;
+    }
+    return static_cast<double>(std::max<std::size_t>(count, 1));
+}
+
+std::unique_ptr<ClaimStep> makeClaims(const AgentSettings &settings, const EnvironmentDocument &document, Incarnation holder)
+{
+    const ProcessSettings &process = settings.process;
+    if (process.platformAddress.empty()) {
+        return std::make_unique<NoClaims>();
+    }
+    return std::make_unique<PlatformClaims>(PlatformClaims::Options{
+        .address = process.platformAddress,
+        .environment = process.environment.empty() ? document.name : process.environment,
+        .holder = holder,
+        .callers = countClaimers(document),
+    });
+}
 
 } // namespace
 
@@ -22,9 +48,12 @@
     Incarnation incarnation = drawIncarnation();
     Metrics metrics;
     DocumentHolder document;
-    MemoryClaims claims;
+    std::unique_ptr<ClaimStep> claims;
+    PrefixState prefixes;
     Endpoint endpoint;
     UpstreamClient upstream;
+    CacheFeed feed;
+    bool isModel = false;
     AttemptRunner runner;
     AdminListener admin;
     Timer tickTimer;
@@ -36,6 +65,7 @@
 Agent::Impl::Impl(AgentOptions agentOptions)
     : options(std::move(agentOptions))
     , document(options.document)
+    , claims(makeClaims(options.settings, options.document.document, incarnation))
     , endpoint({
           .keys = fleetKeysFrom(options.settings.process.fleetKeys).value_or(FleetKeys{}),
           .self = { .name = options.settings.process.name,
@@ -53,16 +83,30 @@
     , upstream({
           .address = options.settings.upstreamAddress,
           .isModel = findUpstream(options.document.document, options.settings.upstream).value_or(UpstreamRole{}).isModel,
-          .onIncarnation = [this](Incarnation now) { runner.upstreamReplaced(now); },
+          .onIncarnation =
+              [this](Incarnation now) {
+                  feed.engineIs(now);
+                  runner.upstreamReplaced(now);
+              },
+      })
+    , feed({
+          .address = options.settings.upstreamAddress,
+          .prefixes = prefixes,
+          .onIncarnation = [this](Incarnation now) { upstream.noteIncarnation(now); },
+          .onBroken = [this] { upstream.check(upstream.incarnation(), [](EngineCheck) {}); },
       })
+    , isModel(findUpstream(options.document.document, options.settings.upstream).value_or(UpstreamRole{}).isModel)
     , runner({
           .settings = options.settings,
           .incarnation = incarnation,
           .document = document,
           .endpoint = endpoint,
           .upstream = upstream,
-          .claims = claims,
+          .claims = *claims,
+          .prefixes = prefixes,
           .metrics = metrics,
+          .stallLimit = options.stallLimit,
+          .onSuspect = options.onSuspect,
       })
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
@@ -95,11 +139,13 @@
 void Agent::Impl::tick()
 {
     const Micros now = monotonicNow();
+    claims->tick(now);
+    feed.tick(now);
     runner.tick(now);
     if (!leaving || stopped) {
         return;
     }
-    const bool idle = runner.isIdle();
+    const bool idle = runner.isIdle() && claims->isIdle();
     if (idle || now > stopBy) {
         stopped = true;
         logEvent(idle ? LogLevel::Info : LogLevel::Warning, "stopped", { { "all_delivered", idle } });
@@ -139,6 +185,11 @@
         return error;
     }
     impl_->upstream.start();
+    if (impl_->isModel) {
+        impl_->feed.start();
+    } else if (process.platformAddress.empty()) {
+        logEvent(LogLevel::Warning, "no_platform", { { "effect", "calls with an Idempotency-Key that must not be repeated are refused" } });
+    }
     impl_->tickTimer.startRepeating(TickInterval, [this] { impl_->tick(); });
     logEvent(LogLevel::Info, "started", { { "incarnation", toHex(impl_->incarnation) }, { "wire_port", wirePort() }, { "admin_port", adminPort() } });
     return {};
@@ -155,6 +206,11 @@
     impl_->runner.beginLeaving();
 }
 
+void Agent::mergeSuspect(const SuspectFact &fact)
+{
+    impl_->runner.mergeSuspect(fact);
+}
+
 std::uint16_t Agent::wirePort() const
 {
     return impl_->endpoint.port();
--- a/packages/agent/src/attempt_runner.cpp
+++ b/packages/agent/src/attempt_runner.cpp
@@ -3,9 +3,9 @@
 
 // Index
 //   1. Admission        probes, submits, repeats, refusals
-//   2. Running          claims, calls, answers
-//   3. Delivery         chunks within credit, outcomes
-//   4. Ending           cancels, broken connections, overdue attempts
+//   2. Upkeep           each tick, shutdown, dump
+//
+// Running is in attempt_running.cpp, delivery and ending in attempt_delivery.cpp.
 
 namespace Carobhall
 {
@@ -13,22 +13,17 @@
 namespace
 {
 
-/// Reading from the upstream pauses while this much waits to be sent.
-constexpr std::uint64_t ReadAheadCost = 65536;
-constexpr std::size_t ChunkBytes = 16384;
-/// The endpoint ends a connection at its own limit; sending pauses well before.
-constexpr std::size_t MaxConnectionQueue = std::size_t{ 4 } << 20U;
-/// A longer answer of a claimed call is not kept; its repeats get the verdict without it.
-constexpr std::size_t MaxKeptAnswer = std::size_t{ 256 } << 10U;
+/// Tokens of an answer without a stated limit, until answers have been seen.
+constexpr double InitialAnswerTokens = 64.0;
+constexpr Micros SuspectExpiryInterval = 5 * MicrosPerSecond;
 
-Verdict verdictOf(const Outcome &outcome)
+Refused refusal(Errc error, std::string message)
 {
-    return std::visit([](const auto &message) { return static_cast<Verdict>(message.verdict); }, outcome);
-}
-
-Errc errorOf(const Outcome &outcome)
-{
-    return std::visit([](const auto &message) { return static_cast<Errc>(message.error); }, outcome);
+    Refused refused;
+    refused.verdict = static_cast<std::uint8_t>(Verdict::NotRun);
+    refused.error = static_cast<int>(error);
+    refused.message = std::move(message);
+    return refused;
 }
 
 } // namespace
@@ -36,25 +31,31 @@
 // 1. Admission ------------------------------------------------------------------------------------
 
 AttemptRunner::AttemptRunner(AttemptRunnerOptions options)
-    : options_(options)
+    : options_(std::move(options))
+    , role_(findUpstream(options_.document.current()->document, options_.settings.upstream).value_or(UpstreamRole{}))
+    , queue_(options_.document.current()->document, role_, options_.incarnation)
+    , answerTokens_({ .initial = InitialAnswerTokens, .low = 1.0 })
 {
-    const auto applyRole = [this](const VersionedDocument &document) {
+    options_.document.onReplaced([this](const VersionedDocument &document) {
         if (auto role = findUpstream(document.document, options_.settings.upstream)) {
             role_ = std::move(*role);
-            queue_.setSlots(role_.slots);
+            queue_.configure(document.document, role_);
         }
-    };
-    applyRole(*options_.document.current());
-    options_.document.onReplaced(applyRole);
+    });
 }
 
-ProbeReply AttemptRunner::probe(const Probe &probe) const
+ProbeReply AttemptRunner::probe(const Probe &probe)
 {
     ProbeReply reply;
     reply.id = probe.id;
     reply.agent = options_.incarnation;
     reply.upstream = options_.upstream.incarnation();
-    reply.expectedWait = queue_.expectedWait(probe.rank, monotonicNow());
+    const Micros now = monotonicNow();
+    reply.heldPieces = options_.prefixes.usablePieces(probe.samples, now);
+    reply.prefillPerPiece = role_.isModel ? options_.prefixes.prefillPerPiece() : 0;
+    // Pieces that another attempt still computes count as held, so the wait for them counts too.
+    reply.expectedWait = queue_.expectedWait(static_cast<Rank>(probe.rank), probe.account, now) + options_.prefixes.waitFor(probe.samples, now);
+    reply.suspicion = static_cast<std::uint8_t>(probe.fingerprint == 0 ? Suspicion::None : suspects_.suspicion(probe.fingerprint, now));
     reply.configVersion = options_.document.current()->version;
     reply.weightsVersion = role_.weightsVersion;
     UpstreamState state = UpstreamState::Accepting;
@@ -71,13 +72,6 @@
 
 std::optional<Refused> AttemptRunner::refusalFor(const Submit &submit) const
 {
-    const auto refusal = [](Errc error, std::string message) {
-        Refused refused;
-        refused.verdict = static_cast<std::uint8_t>(Verdict::NotRun);
-        refused.error = static_cast<int>(error);
-        refused.message = std::move(message);
-        return refused;
-    };
     if (submit.agent != 0 && submit.agent != options_.incarnation) {
         return refusal(Errc::IncarnationMismatch, "another agent was meant");
     }
@@ -90,6 +84,19 @@
     if (submit.route != role_.route || (!submit.weightsVersion.empty() && submit.weightsVersion != role_.weightsVersion)) {
         return refusal(Errc::NoUpstream, "the upstream does not serve this route in this version");
     }
+    return refusalBySuspicion(submit);
+}
+
+std::optional<Refused> AttemptRunner::refusalBySuspicion(const Submit &submit) const
+{
+    const Suspicion suspicion = submit.fingerprint == 0 ? Suspicion::None : suspects_.suspicion(submit.fingerprint, monotonicNow());
+    if (suspicion == Suspicion::Condemned) {
+        return refusal(Errc::Condemned, "the request crashed engines before");
+    }
+    if (suspicion == Suspicion::Suspected && !submit.alone) {
+        // The entry process did not know yet. Its next probe tells it.
+        return refusal(Errc::Overloaded, "the request was in flight at a crash and may only run alone");
+    }
     return std::nullopt;
 }
 
@@ -130,20 +137,50 @@
         refuse(attempt, Verdict::NotRun, static_cast<Errc>(refused->error), 0, std::move(refused->message));
         return;
     }
-    QueueItem item{
+    if (role_.isModel) {
+        hashPrompt(attempt);
+    }
+    const QueueItem item{
         .id = id,
         .account = attempt.submit.account,
-        .rank = attempt.submit.rank,
+        .rank = static_cast<Rank>(attempt.submit.rank),
+        .cost = expectedCost(attempt, options_.prefixes.usablePieces(attempt.prefill.samples, now)),
         .startBy = now + attempt.submit.timeout,
-        .cost = std::uint64_t{ attempt.submit.promptPieces } + attempt.submit.maxTokens,
+        .alone = attempt.submit.alone,
     };
-    if (const auto refusal = queue_.push(std::move(item), now)) {
-        refuse(attempt, Verdict::NotRun, refusal->error, refusal->retryAfter, "the queue is longer than the deadline allows");
+    if (const auto refused = queue_.push(item, now)) {
+        refuse(attempt, Verdict::NotRun, refused->error, refused->retryAfter, "the queue is longer than the deadline allows");
         return;
     }
     runNext();
 }
 
+void AttemptRunner::hashPrompt(Attempt &attempt)
+{
+    const Salt salt{ .seed = attempt.submit.salt, .check = 0 };
+    hashPrefix(promptOf(attempt.submit), salt, hashes_);
+    attempt.prefill.samples = sampleHashes(hashes_);
+    attempt.prefill.pieces = static_cast<std::uint32_t>(hashes_.size());
+}
+
+double AttemptRunner::expectedCost(const Attempt &attempt, std::uint32_t cachedPieces) const
+{
+    if (!role_.isModel) {
+        return 1.0;
+    }
+    const double tokens = attempt.submit.maxTokens == 0 ? answerTokens_.value() : attempt.submit.maxTokens;
+    return attempt.prefill.pieces - std::min(cachedPieces, attempt.prefill.pieces) + tokens;
+}
+
+double AttemptRunner::trueCost(const Attempt &attempt) const
+{
+    if (!role_.isModel) {
+        return 1.0;
+    }
+    const PrefillWork &work = attempt.prefill;
+    return work.pieces - std::min(work.cachedPieces, work.pieces) + static_cast<double>(work.generatedTokens);
+}
+
 void AttemptRunner::repeat(Attempt &attempt, ConnectionId connection, const Submit &submit)
 {
     // The newest connection counts: an older one may still hold an unread copy of the Submit.
@@ -180,302 +217,19 @@
     finish(attempt, std::move(refused));
 }
 
-// 2. Running --------------------------------------------------------------------------------------
-
-void AttemptRunner::runNext()
-{
-    while (const auto item = queue_.pop(monotonicNow())) {
-        if (Attempt *const attempt = table_.find(item->id); attempt != nullptr) {
-            begin(*attempt);
-        }
-    }
-}
-
-void AttemptRunner::begin(Attempt &attempt)
-{
-    attempt.startedAt = monotonicNow();
-    if (attempt.submit.repeatable || attempt.submit.idempotencyKey.empty()) {
-        call(attempt);
-        return;
-    }
-    attempt.state = AttemptState::Claiming;
-    options_.claims.claim(attempt.submit, [this, id = attempt.id](ClaimOutcome outcome) { claimed(id, std::move(outcome)); });
-}
-
-void AttemptRunner::claimed(const AttemptId &id, ClaimOutcome outcome)
-{
-    Attempt *const attempt = table_.find(id);
-    if (attempt == nullptr || attempt->state != AttemptState::Claiming) {
-        return;
-    }
-    if (std::holds_alternative<ClaimGranted>(outcome)) {
-        attempt->claimed = true;
-        call(*attempt);
-        return;
-    }
-    queue_.finished(id, monotonicNow() - attempt->startedAt, monotonicNow());
-    if (auto *const answer = std::get_if<StoredAnswer>(&outcome)) {
-        replay(*attempt, std::move(*answer));
-    } else {
-        auto &refusal = std::get<ClaimRefusal>(outcome);
-        refuse(*attempt, refusal.verdict, refusal.error, 0, std::move(refusal.message));
-    }
-}
-
-void AttemptRunner::call(Attempt &attempt)
-{
-    attempt.state = AttemptState::Running;
-    const AttemptId id = attempt.id;
-    attempt.call = options_.upstream.makeCall(upstreamRequestFor(attempt.submit, role_.isModel), attempt.submit.path,
-                                              {
-                                                  .onAnswer = [this, id](const UpstreamAnswer &answer) { answered(id, answer); },
-                                                  .onPiece = [this, id](std::string piece) { received(id, std::move(piece)); },
-                                                  .onEnd = [this, id](UpstreamResult result) { callEnded(id, std::move(result)); },
-                                              });
-    attempt.call->start();
-}
-
-void AttemptRunner::replay(Attempt &attempt, StoredAnswer answer)
-{
-    options_.metrics.count("carobhall_agent_claims_replayed_total");
-    Head head;
-    head.key = attempt.id;
-    head.status = answer.status;
-    head.contentType = std::move(answer.contentType);
-    attempt.head = std::move(head);
-    attempt.output.append(std::move(answer.body));
-    End end;
-    end.complete = true;
-    end.verdict = static_cast<std::uint8_t>(Verdict::Ran);
-    finish(attempt, std::move(end));
-}
-
-void AttemptRunner::answered(const AttemptId &id, const UpstreamAnswer &answer)
-{
-    Attempt *const attempt = table_.find(id);
-    if (attempt == nullptr) {
-        return;
-    }
-    Head head;
-    head.key = id;
-    head.status = answer.status;
-    head.contentType = answer.contentType;
-    head.cachedPieces = answer.cachedPieces;
-    attempt->head = std::move(head);
-    pump(*attempt);
-}
-
-void AttemptRunner::received(const AttemptId &id, std::string piece)
-{
-    Attempt *const attempt = table_.find(id);
-    if (attempt == nullptr) {
-        return;
-    }
-    if (attempt->claimed && attempt->answerBody.size() <= MaxKeptAnswer) {
-        attempt->answerBody += piece;
-    }
-    if (attempt->abandoned) {
-        return;
-    }
-    attempt->output.append(std::move(piece));
-    pump(*attempt);
-    if (attempt->call != nullptr && attempt->output.unsentCost() > ReadAheadCost) {
-        attempt->call->pause();
-    }
-}
-
-void AttemptRunner::callEnded(const AttemptId &id, UpstreamResult result)
-{
-    Attempt *const attempt = table_.find(id);
-    if (attempt == nullptr) {
-        return;
-    }
-    const Micros now = monotonicNow();
-    queue_.finished(id, now - attempt->startedAt, now);
-    attempt->call.reset();
-    const bool notRun = result.verdict == Verdict::NotRun;
-    if (notRun) {
-        options_.upstream.noteUnreachable();
-    }
-    if (attempt->claimed && notRun) {
-        options_.claims.release(attempt->submit);
-    } else if (attempt->claimed) {
-        std::optional<StoredAnswer> kept;
-        if (result.complete && attempt->head && attempt->answerBody.size() <= MaxKeptAnswer) {
-            kept = StoredAnswer{ .status = attempt->head->status, .contentType = attempt->head->contentType, .body = std::move(attempt->answerBody) };
-        }
-        options_.claims.finish(attempt->submit, std::move(kept));
-    }
-    if (!attempt->head) {
-        refuse(*attempt, result.verdict, Errc::UpstreamFailed, 0, std::move(result.message));
-    } else {
-        End end;
-        end.finalOffset = attempt->output.endOffset();
-        end.complete = result.complete;
-        end.verdict = static_cast<std::uint8_t>(result.verdict);
-        end.error = result.error.value();
-        end.finishReason = std::move(result.finishReason);
-        end.message = std::move(result.message);
-        finish(*attempt, std::move(end));
-    }
-    runNext();
-}
-
-// 3. Delivery -------------------------------------------------------------------------------------
-
-void AttemptRunner::finish(Attempt &attempt, Outcome outcome)
-{
-    std::visit([&](auto &message) { message.key = attempt.id; }, outcome);
-    attempt.state = AttemptState::Ended;
-    attempt.endedAt = monotonicNow();
-    attempt.submit.body.clear();
-    attempt.outcome = std::move(outcome);
-    const Verdict verdict = verdictOf(*attempt.outcome);
-    const Errc error = errorOf(*attempt.outcome);
-    const std::string errorName = error == Errc{} ? std::string("none") : std::string(nameOf(error));
-    options_.metrics.count("carobhall_agent_attempts_total", "verdict=\"" + std::string(nameOf(verdict)) + "\",error=\"" + errorName + "\"");
-    const Micros waitedUntil = attempt.startedAt == 0 ? attempt.endedAt : attempt.startedAt;
-    logEvent(LogLevel::Info, "attempt_end",
-             { { "request", toString(attempt.id) },
-               { "account", attempt.submit.account },
-               { "upstream", options_.settings.upstream },
-               { "verdict", verdict },
-               { "error", errorName },
-               { "waited_us", waitedUntil - attempt.receivedAt },
-               { "ran_us", attempt.endedAt - waitedUntil },
-               { "offset", attempt.output.endOffset() } });
-    if (attempt.abandoned) {
-        table_.forget(attempt.id, verdict, attempt.endedAt);
-        return;
-    }
-    pump(attempt);
-}
-
-void AttemptRunner::pump(Attempt &attempt)
-{
-    const ConnectionId connection = attempt.connection;
-    if (connection == 0) {
-        return;
-    }
-    Endpoint &endpoint = options_.endpoint;
-    if (attempt.head && !attempt.headSent) {
-        attempt.headSent = endpoint.send(connection, *attempt.head);
-    }
-    while (endpoint.queuedBytes(connection) < MaxConnectionQueue) {
-        auto chunk = attempt.output.takeChunk(ChunkBytes);
-        if (!chunk) {
-            break;
-        }
-        chunk->key = attempt.id;
-        if (!endpoint.send(connection, std::move(*chunk))) {
-            return; // connectionClosed() follows; the output is kept for a resumption.
-        }
-    }
-    if (attempt.outcome && !attempt.outcomeSent && attempt.output.allSent()) {
-        attempt.outcomeSent = std::visit([&](const auto &message) { return endpoint.send(connection, message); }, *attempt.outcome);
-    }
-    if (attempt.call != nullptr && attempt.output.unsentCost() <= ReadAheadCost / 2) {
-        attempt.call->resume();
-    }
-}
-
-void AttemptRunner::credit(const Credit &credit)
-{
-    if (Attempt *const attempt = table_.find(credit.key); attempt != nullptr) {
-        attempt->output.setCredit(credit.total);
-        pump(*attempt);
-    }
-}
-
-// 4. Ending ---------------------------------------------------------------------------------------
-
-void AttemptRunner::abandon(Attempt &attempt)
-{
-    const Micros now = monotonicNow();
-    switch (attempt.state) {
-    case AttemptState::Queued:
-        queue_.remove(attempt.id);
-        table_.forget(attempt.id, Verdict::NotRun, now);
-        return;
-    case AttemptState::Claiming:
-    case AttemptState::Running:
-        if (!attempt.submit.repeatable) {
-            // Breaking the call off would leave open whether it ran. It runs to its end, and the claim gets its answer.
-            attempt.abandoned = true;
-            attempt.output.clear();
-            if (attempt.call != nullptr) {
-                attempt.call->resume();
-            }
-            return;
-        }
-        if (role_.isModel) {
-            options_.upstream.cancelAtEngine(toString(attempt.id));
-        }
-        options_.metrics.count("carobhall_agent_cancelled_total");
-        queue_.finished(attempt.id, now - attempt.startedAt, now);
-        table_.forget(attempt.id, Verdict::MayHaveRun, now);
-        runNext();
-        return;
-    case AttemptState::Ended:
-        table_.forget(attempt.id, attempt.outcome ? verdictOf(*attempt.outcome) : Verdict::MayHaveRun, now);
-        return;
-    }
-}
-
-void AttemptRunner::cancel(const Cancel &cancel)
-{
-    if (Attempt *const attempt = table_.find(cancel.key); attempt != nullptr) {
-        abandon(*attempt);
-    } else {
-        // On a new connection a Cancel may overtake the Submit of the broken one.
-        table_.forget(cancel.key, Verdict::NotRun, monotonicNow());
-    }
-}
-
-void AttemptRunner::connectionClosed(ConnectionId connection)
-{
-    const Micros now = monotonicNow();
-    table_.each([&](Attempt &attempt) {
-        if (attempt.connection == connection) {
-            attempt.connection = 0;
-            attempt.orphanedAt = now;
-        }
-    });
-}
-
-void AttemptRunner::upstreamReplaced(Incarnation now)
-{
-    table_.each([&](Attempt &attempt) {
-        if (attempt.call != nullptr && attempt.call->answeredBy() != 0 && attempt.call->answeredBy() != now) {
-            attempt.call->fail("the engine has started anew");
-        }
-    });
-}
-
-void AttemptRunner::sweep(Attempt &attempt, Micros now)
-{
-    const Micros keptFor = options_.settings.resumeWindow;
-    if (attempt.state == AttemptState::Queued && attempt.receivedAt + attempt.submit.timeout < now) {
-        queue_.remove(attempt.id);
-        refuse(attempt, Verdict::NotRun, Errc::DeadlineUnreachable, 0, "the deadline passed in the queue");
-        return;
-    }
-    if (attempt.connection == 0 && attempt.orphanedAt + keptFor < now && !attempt.abandoned) {
-        abandon(attempt);
-        return;
-    }
-    if (attempt.outcomeSent && attempt.endedAt + keptFor < now) {
-        abandon(attempt);
-        return;
-    }
-    pump(attempt);
-}
+// 2. Upkeep --------------------------------------------------------------------------------------
 
 void AttemptRunner::tick(Micros now)
 {
     table_.each([&](Attempt &attempt) { sweep(attempt, now); });
     table_.dropOldTombstones(now);
-    options_.metrics.setGauge("carobhall_agent_queued", {}, static_cast<double>(queue_.size()));
+    runNext();
+    if (suspectsExpireAt_ < now) {
+        suspects_.expire(now);
+        suspectsExpireAt_ = now + SuspectExpiryInterval;
+    }
+    publishSuspects();
+    options_.metrics.setGauge("carobhall_agent_queued", {}, static_cast<double>(queue_.queued()));
     options_.metrics.setGauge("carobhall_agent_attempts", {}, static_cast<double>(table_.size()));
 }
 
@@ -504,8 +258,12 @@
     });
     Json::Value state(Json::objectValue);
     state["attempts"] = attempts;
-    state["queued"] = Json::UInt64(queue_.size());
+    state["queued"] = Json::UInt64(queue_.queued());
     state["tombstones"] = Json::UInt64(table_.tombstoneCount());
+    state["running"] = Json::UInt64(queue_.running());
+    state["suspects"] = Json::UInt64(suspects_.size());
+    state["cache_index"] = std::string(nameOf(options_.prefixes.index().state()));
+    state["cached_blocks"] = Json::UInt64(options_.prefixes.index().size());
     state["leaving"] = leaving_;
     state["route"] = role_.route;
     state["weights_version"] = role_.weightsVersion;
--- a/packages/agent/src/attempt_table.h
+++ b/packages/agent/src/attempt_table.h
@@ -12,24 +12,35 @@
 
 enum class AttemptState : std::uint8_t {
     Queued,
-    Claiming, ///< Has left the queue and waits for its Idempotency-Key.
+    Claiming,  ///< Has left the queue and waits for its Idempotency-Key.
+    Following, ///< Waits in its slot while another attempt computes a prefix that both share.
     Running,
+    Broken, ///< Its call broke off, and the engine is asked whether it is still there.
     Ended,
 };
 
 template<>
 struct EnumNames<AttemptState> {
     static constexpr std::array rows{
-        EnumName{ AttemptState::Queued, "queued" },
-        EnumName{ AttemptState::Claiming, "claiming" },
-        EnumName{ AttemptState::Running, "running" },
-        EnumName{ AttemptState::Ended, "ended" },
+        EnumName{ AttemptState::Queued, "queued" },   EnumName{ AttemptState::Claiming, "claiming" }, EnumName{ AttemptState::Following, "following" },
+        EnumName{ AttemptState::Running, "running" }, EnumName{ AttemptState::Broken, "broken" },     EnumName{ AttemptState::Ended, "ended" },
     };
 };
 
 /// How an attempt ended, as it is told to the entry process.
 using Outcome = std::variant<Refused, End>;
 
+/// A model attempt's prompt and what the engine does with it.
+struct PrefillWork {
+    std::vector<PrefixSample> samples;
+    std::uint32_t pieces = 0;          ///< Of the whole prompt.
+    std::uint32_t cachedPieces = 0;    ///< That the engine found in its cache.
+    std::uint64_t flight = 0;          ///< In single-flight; 0: none.
+    std::uint32_t followedPieces = 0;  ///< Of the prefix that another attempt computes.
+    Micros followUntil = 0;            ///< It waits for that no longer.
+    std::uint64_t generatedTokens = 0; ///< By this attempt's engine.
+};
+
 struct Attempt {
     AttemptId id;
     Submit submit;
@@ -40,7 +51,13 @@
     Micros receivedAt = 0;
     Micros startedAt = 0;  ///< Left the queue.
     Micros orphanedAt = 0; ///< The connection broke.
+    Micros calledAt = 0;   ///< Handed to the upstream.
+    Micros stalledAt = 0;  ///< Since then the entry process takes nothing of what waits; 0: it takes.
     Micros endedAt = 0;
+    Incarnation engine = 0; ///< That it was handed to.
+    bool runsAlone = false; ///< Holds the permit for the run of a suspected request.
+    PrefillWork prefill{};
+    std::optional<UpstreamResult> brokenResult{}; ///< In the state Broken.
     std::unique_ptr<UpstreamCall> call;
     std::optional<Head> head;
     bool headSent = false;
--- a/packages/agent/src/claims.h
+++ b/packages/agent/src/claim_step.h
@@ -2,9 +2,9 @@
 
 // The step before a call that must not be repeated and carries an Idempotency-Key: claim the key, or get what became of it.
 
+#include "carobhall/claims.h"
 #include "carobhall/messages.h"
-
-#include <functional>
+#include "carobhall/soup_transport.h"
 
 namespace Carobhall
 {
@@ -20,9 +20,10 @@
     Verdict verdict = Verdict::NotRun;
     Errc error = Errc::Conflict;
     std::string message;
+    Micros retryAfter = 0; ///< 0: no advice.
 };
 
-/// The key is claimed: run the call, then finish().
+/// The key is claimed: run the call, then call either finish() or release().
 struct ClaimGranted {
 };
 
@@ -43,26 +44,46 @@
     virtual void release(const Submit &submit) = 0;
     /// The claimed call has ended; without an answer it may have run.
     virtual void finish(const Submit &submit, std::optional<StoredAnswer> answer) = 0;
+    /// Call it every 10 ms.
+    virtual void tick(Micros now) = 0;
+    /// Whether everything that was claimed is durable. A graceful shutdown waits for it.
+    [[nodiscard]] virtual bool isIdle() const = 0;
 };
 
-/// Claims in this process's memory: lost when the agent ends.
-class MemoryClaims : public ClaimStep
+/// Without a platform nothing can be claimed: each claim is refused as not run.
+class NoClaims : public ClaimStep
 {
 public:
     void claim(const Submit &submit, std::function<void(ClaimOutcome)> done) override;
     void release(const Submit &submit) override;
     void finish(const Submit &submit, std::optional<StoredAnswer> answer) override;
+    void tick(Micros now) override;
+    [[nodiscard]] bool isIdle() const override;
+};
 
-private:
-    enum class Stage : std::uint8_t { Running, Ended };
-
-    struct Claim {
-        std::string digest; ///< Of method, path and body.
-        Stage stage = Stage::Running;
-        std::optional<StoredAnswer> answer;
+/// Claims in shards on the platform, which outlive this process.
+class PlatformClaims : public ClaimStep
+{
+public:
+    struct Options {
+        std::string address;     ///< "ip:port" of the platform.
+        std::string environment; ///< Name of the environment document.
+        Incarnation holder = 0;  ///< Of this process.
+        double callers = 1.0;    ///< Processes of the fleet that make claims.
     };
 
-    std::map<std::pair<std::string, std::string>, Claim> claims_; ///< By account and key.
+    explicit PlatformClaims(const Options &options);
+
+    void claim(const Submit &submit, std::function<void(ClaimOutcome)> done) override;
+    void release(const Submit &submit) override;
+    void finish(const Submit &submit, std::optional<StoredAnswer> answer) override;
+    void tick(Micros now) override;
+    [[nodiscard]] bool isIdle() const override;
+
+private:
+    SoupTransport transport_;
+    PlatformClient client_;
+    Claims claims_;
 };
 
 } // namespace Carobhall
--- a/packages/agent/src/engine_request.cpp
+++ b/packages/agent/src/engine_request.cpp
@@ -14,7 +14,7 @@
     }
     (*json)["stream"] = true;
     (*json)["priority"] = submit.rank;
-    (*json)["cache_salt"] = toHex(submit.salt);
+    (*json)["cache_salt"] = std::to_string(submit.salt);
     (*json)["request_id"] = toString(submit.key);
     if (submit.resumeOffset > 0) {
         (*json)["resume_from"] = Json::UInt64(submit.resumeOffset);
@@ -38,4 +38,27 @@
     return request;
 }
 
+std::string promptOf(const Submit &submit)
+{
+    const auto json = parseJson(submit.body);
+    if (!json || !json->isObject()) {
+        return {};
+    }
+    if (const Json::Value &prompt = (*json)["prompt"]; prompt.isString()) {
+        return prompt.asString();
+    }
+    std::string text;
+    const Json::Value &messages = (*json)["messages"];
+    if (!messages.isArray()) {
+        return {};
+    }
+    for (const Json::Value &message : messages) {
+        if (!message.isObject() || !message["role"].isString() || !message["content"].isString()) {
+            return {};
+        }
+        text += message["role"].asString() + "\n" + message["content"].asString() + "\n";
+    }
+    return text;
+}
+
 } // namespace Carobhall
--- a/packages/agent/src/engine_request.h
+++ b/packages/agent/src/engine_request.h
@@ -11,4 +11,8 @@
 /// salt, identity and the place to resume from. Thread-safe.
 [[nodiscard]] UpstreamRequest upstreamRequestFor(const Submit &submit, bool isModel);
 
+/// The prompt that the engine hashes: the text of a completion, or role, newline, content and newline of each chat message.
+/// Empty when the body has none. Thread-safe.
+[[nodiscard]] std::string promptOf(const Submit &submit);
+
 } // namespace Carobhall
--- /dev/null
+++ b/packages/agent/src/prefix_state.cpp
@@ -0,0 +1,100 @@
+#include "prefix_state.h"
+
+namespace Carobhall
+{
+
+namespace
+{
+
+/// Fewer pieces say more about the time of one decoding step than about prefill.
+constexpr std::uint32_t FewestPiecesToLearn = 4;
+
+} // namespace
+
+PrefixState::PrefixState()
+    : prefill_({ .initial = 1000.0, .low = 1.0, .high = 1.0 * MicrosPerSecond })
+{
+}
+
+CacheIndex &PrefixState::index()
+{
+    return index_;
+}
+
+void PrefixState::setCurrent(bool current)
+{
+    current_ = current;
+}
+
+bool PrefixState::isCurrent() const
+{
+    return current_;
+}
+
+std::uint32_t PrefixState::heldPieces(std::span<const PrefixSample> samples) const
+{
+    return current_ ? index_.heldPieces(samples) : 0;
+}
+
+std::uint32_t PrefixState::usablePieces(std::span<const PrefixSample> samples, Micros now) const
+{
+    return std::max(heldPieces(samples), flights_.pendingPieces(samples, now));
+}
+
+Micros PrefixState::waitFor(std::span<const PrefixSample> samples, Micros now) const
+{
+    return flights_.waitFor(samples, heldPieces(samples), now);
+}
+
+std::uint64_t PrefixState::begin(std::span<const PrefixSample> samples, std::uint32_t pieces, Micros now)
+{
+    const std::uint32_t held = heldPieces(samples);
+    if (held >= pieces) {
+        return 0;
+    }
+    return flights_.begin(samples, prefillPerPiece() * (pieces - held), now);
+}
+
+void PrefixState::end(std::uint64_t flight)
+{
+    flights_.end(flight);
+}
+
+void PrefixState::clearFlights()
+{
+    flights_ = SingleFlight();
+}
+
+void PrefixState::learn(std::uint32_t uncached, Micros elapsed)
+{
+    if (uncached >= FewestPiecesToLearn) {
+        prefill_.add(static_cast<double>(elapsed) / uncached);
+    }
+}
+
+Micros PrefixState::prefillPerPiece() const
+{
+    return static_cast<Micros>(prefill_.value());
+}
+
+std::uint32_t sharedPieces(std::span<const PrefixSample> a, std::span<const PrefixSample> b)
+{
+    std::uint32_t shared = 0;
+    for (std::size_t i = 0, j = 0; i < a.size() && j < b.size();) {
+        if (a[i].pieces == b[j].pieces) {
+            if (a[i].hash != b[j].hash) {
+                break;
+            }
+            shared = a[i].pieces;
+            ++i;
+            ++j;
+        } else if (a[i].pieces < b[j].pieces) {
+            ++i;
+        } else {
+            ++j;
+        }
+    }
+    return shared;
+}
+
+} // namespace Carobhall
--- a/packages/agent/src/upstream_call.cpp
+++ b/packages/agent/src/upstream_call.cpp
@@ -146,7 +146,7 @@
     state.answer.status = static_cast<int>(soup_message_get_status(state.message.get()));
     state.answer.contentType = headerOf(headers, "Content-Type");
     state.answer.incarnation = incarnationFrom(headerOf(headers, "Engine-Incarnation"));
-    state.answer.cachedPieces = numberFrom<std::uint32_t>(headerOf(headers, "Engine-Cached-Pieces"), 10).value_or(0);
+    state.answer.cachedPieces = numberFrom<std::uint32_t>(headerOf(headers, "Cached-Pieces"), 10);
     if (state.answer.status >= FirstServerErrorStatus && state.request.repeatable) {
         state.broken("the upstream answered with status " + std::to_string(state.answer.status));
         return;
--- a/packages/agent/src/upstream_call.h
+++ b/packages/agent/src/upstream_call.h
@@ -24,8 +24,8 @@
 struct UpstreamAnswer {
     int status = 0;
     std::string contentType;
-    Incarnation incarnation = 0; ///< 0: the upstream does not name one.
-    std::uint32_t cachedPieces = 0;
+    Incarnation incarnation = 0;                 ///< 0: the upstream does not name one.
+    std::optional<std::uint32_t> cachedPieces{}; ///< Of the prompt, found in the engine's cache.
 };
 
 struct UpstreamResult {
--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -1,5 +1,7 @@
 #include "upstream_client.h"
 
+#include <algorithm>
+
 namespace Carobhall
 {
 
@@ -11,6 +13,8 @@
 constexpr Micros DownPeriod = MicrosPerSecond;
 /// An engine that is silent this long inside a call has hung.
 constexpr guint StallSeconds = 30;
+/// Bounds how long the ends of broken calls wait for the news of a crash.
+constexpr guint CheckSeconds = 1;
 constexpr int MaxConnections = 1024;
 
 } // namespace
@@ -18,6 +22,7 @@
 UpstreamClient::UpstreamClient(Options options)
     : options_(std::move(options))
     , session_(soup_session_new_with_options("max-conns", MaxConnections, "max-conns-per-host", MaxConnections, "timeout", StallSeconds, nullptr))
+    , checkSession_(soup_session_new_with_options("timeout", CheckSeconds, nullptr))
     , cancellable_(g_cancellable_new())
 {
     // Answers pass through byte for byte.
@@ -41,7 +46,7 @@
 {
     request.url = "http://" + options_.address + path;
     auto onAnswer = [this, forward = std::move(events.onAnswer)](const UpstreamAnswer &answer) {
-        learn(answer.incarnation);
+        noteIncarnation(answer.incarnation);
         forward(answer);
     };
     events.onAnswer = std::move(onAnswer);
@@ -81,47 +86,39 @@
         return;
     }
     pollRunning_ = true;
-    struct Pending {
-        UpstreamClient *client;
-        ObjectRef<SoupSession> session;
-        ObjectRef<SoupMessage> message;
-        ObjectRef<GCancellable> cancellable;
-    };
-    auto *const pending = new Pending{
-        .client = this,
-        .session = refObject(session_.get()),
-        .message = ObjectRef<SoupMessage>(soup_message_new("GET", ("http://" + options_.address + "/load").c_str())),
-        .cancellable = refObject(cancellable_.get()),
-    };
-    soup_session_send_and_read_async(
-        session_.get(), pending->message.get(), G_PRIORITY_DEFAULT, cancellable_.get(),
-        [](GObject *, GAsyncResult *result, gpointer data) {
-            const std::unique_ptr<Pending> done(static_cast<Pending *>(data));
-            GBytes *bytes = soup_session_send_and_read_finish(done->session.get(), result, nullptr);
-            if (g_cancellable_is_cancelled(done->cancellable.get()) != FALSE) {
-                g_clear_pointer(&bytes, g_bytes_unref);
-                return;
-            }
-            UpstreamClient &client = *done->client;
-            client.pollRunning_ = false;
-            if (bytes == nullptr) {
-                client.noteUnreachable();
-                return;
-            }
-            g_bytes_unref(bytes);
-            client.downUntil_ = 0;
-            const char *const seen = soup_message_headers_get_one(soup_message_get_response_headers(done->message.get()), "Engine-Incarnation");
-            client.learn(seen == nullptr ? 0 : incarnationFrom(seen));
-        },
-        pending);
+    httpGet(session_.get(), "http://" + options_.address + "/load", cancellable_.get(), [this](const HttpReply &reply) {
+        pollRunning_ = false;
+        if (reply.status == 0) {
+            noteUnreachable();
+            return;
+        }
+        downUntil_ = 0;
+        noteIncarnation(incarnationFrom(reply.incarnation));
+    });
+}
+
+void UpstreamClient::check(Incarnation expected, std::function<void(EngineCheck)> done)
+{
+    httpGet(checkSession_.get(), "http://" + options_.address + "/load", cancellable_.get(), [this, expected, done = std::move(done)](const HttpReply &reply) {
+        if (reply.status == 0) {
+            noteUnreachable();
+            done(reply.timedOut ? EngineCheck::Unknown : EngineCheck::Gone);
+            return;
+        }
+        const Incarnation seen = incarnationFrom(reply.incarnation);
+        done(seen == 0 || seen == expected ? EngineCheck::Alive : EngineCheck::Gone);
+        noteIncarnation(seen);
+    });
 }
 
-void UpstreamClient::learn(Incarnation seen)
+void UpstreamClient::noteIncarnation(Incarnation seen)
 {
-    if (seen == 0 || seen == incarnation_) {
+    if (seen == 0 || seen == incarnation_ || std::find(former_.begin(), former_.end(), seen) != former_.end()) {
         return;
     }
     logEvent(LogLevel::Info, "upstream_incarnation", { { "before", toHex(incarnation_) }, { "now", toHex(seen) } });
+    former_[formerNext_] = incarnation_;
+    formerNext_ = (formerNext_ + 1) % FormerCount;
     incarnation_ = seen;
     options_.onIncarnation(seen);
 }
--- a/packages/agent/src/upstream_client.h
+++ b/packages/agent/src/upstream_client.h
@@ -2,11 +2,19 @@
 
 // The agent's view of its upstream: calls to it, its incarnation, and whether it answers.
 
+#include "http_get.h"
 #include "upstream_call.h"
 
 namespace Carobhall
 {
 
+/// What became of an engine whose call broke off.
+enum class EngineCheck : std::uint8_t {
+    Alive,   ///< The same engine answers.
+    Gone,    ///< Nothing listens there, or another incarnation.
+    Unknown, ///< It does not answer in time.
+};
+
 class UpstreamClient
 {
 public:
@@ -29,6 +37,11 @@
     /// Asks an engine to end a request whose connection may already be gone.
     void cancelAtEngine(const std::string &requestId);
 
+    /// Finds out whether the engine of incarnation \p expected is still there; calls \p done later.
+    void check(Incarnation expected, std::function<void(EngineCheck)> done);
+    /// The engine has named itself.
+    void noteIncarnation(Incarnation seen);
+
     /// 0 until the engine has answered once.
     [[nodiscard]] Incarnation incarnation() const;
     [[nodiscard]] bool isDown() const;
@@ -37,13 +50,17 @@
 
 private:
     void poll();
-    void learn(Incarnation seen);
+
+    static constexpr std::size_t FormerCount = 8;
 
     Options options_;
     ObjectRef<SoupSession> session_;
+    ObjectRef<SoupSession> checkSession_; ///< With a short timeout.
     ObjectRef<GCancellable> cancellable_;
     Timer pollTimer_;
     Incarnation incarnation_ = 0;
+    std::array<Incarnation, FormerCount> former_{}; ///< Engines that were replaced; their late answers say nothing new.
+    std::size_t formerNext_ = 0;
     Micros downUntil_ = 0;
     bool pollRunning_ = false;
 };
--- a/packages/entry/tests/harness.cpp
+++ b/packages/entry/tests/harness.cpp
@@ -108,6 +108,10 @@
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
         return;
     }
+    if (wanted.starts_with("/kv/")) {
+        soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND, nullptr);
+        return;
+    }
     ++upstream.calls;
     upstream.bodies.push_back(body.value_or(Json::Value()));
     if (wanted.starts_with("/v1/")) {
