runtime: add the fleet, embed it in the agent

Cause: neither program took part in membership, and the document came only from a file, so a configuration change could not reach a running process.

Change: fleet.h owns MembershipUdp at the port of the wire listener, the configuration holder and relay, and the connections over which the document spreads. The agent publishes its upstream's state, route and weights version, starts without a document and waits for one, and reports itself down until its document is confirmed after a pause. Membership takes further seeds after the start (the platform's VM list). UpstreamClient learns whether the upstream is a model when the document is there.

Ruled out: a second listener for configuration messages, because peers would need a second address; a dialled connection of its own for each pair, because any open one serves.

--- a/packages/agent/include/carobhall/agent.h
+++ b/packages/agent/include/carobhall/agent.h
@@ -16,7 +16,7 @@
 
 struct AgentOptions {
     AgentSettings settings;
-    VersionedDocument document;
+    VersionedDocument document; ///< Empty: the agent waits for one from a peer or the platform.
     std::function<void()> onStopped; ///< A graceful shutdown is complete, or its deadline has passed.
 };
 
@@ -30,7 +30,7 @@
     Agent &operator=(const Agent &) = delete;
 
     /// Starts listening. Fails with std::errc::address_in_use when an address is taken, and with Errc::InvalidSettings when
-    /// the document does not contain the upstream.
+    /// there is a document that does not contain the upstream.
     std::error_code start();
 
     /// Refuses new work as not run, finishes what was accepted, then calls onStopped. Repeated calls do nothing.
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/agent.h"
 #include "attempt_runner.h"
+#include "carobhall/fleet.h"
 
 namespace Carobhall
 {
@@ -15,6 +16,8 @@
     explicit Impl(AgentOptions agentOptions);
 
     void onMessage(ConnectionId connection, Message message);
+    void startUpstream();
+    void publishUpstream();
     void tick();
     [[nodiscard]] Json::Value dump() const;
 
@@ -24,10 +27,12 @@
     DocumentHolder document;
     MemoryClaims claims;
     Endpoint endpoint;
+    Fleet fleet;
     UpstreamClient upstream;
     AttemptRunner runner;
     AdminListener admin;
     Timer tickTimer;
+    bool upstreamStarted = false;
     bool leaving = false;
     bool stopped = false;
     Micros stopBy = 0;
@@ -44,15 +49,29 @@
                     .kind = static_cast<std::uint8_t>(ProcessKind::Agent),
                     .upstream = options.settings.upstream },
           .onOpen =
-              [](ConnectionId, const PeerInfo &peer) {
+              [this](ConnectionId connection, const PeerInfo &peer) {
                   logEvent(LogLevel::Debug, "peer_connected", { { "peer", peer.name } });
+                  fleet.opened(connection, peer);
               },
           .onMessage = [this](ConnectionId connection, Message message) { onMessage(connection, std::move(message)); },
-          .onClosed = [this](ConnectionId connection, std::error_code) { runner.connectionClosed(connection); },
+          .onClosed =
+              [this](ConnectionId connection, std::error_code) {
+                  fleet.closed(connection);
+                  runner.connectionClosed(connection);
+              },
+      })
+    , fleet({
+          .process = options.settings.process,
+          .kind = ProcessKind::Agent,
+          .incarnation = incarnation,
+          .upstream = options.settings.upstream,
+          .endpoint = endpoint,
+          .document = document,
+          .onMembers = {},
+          .onFact = {},
       })
     , upstream({
           .address = options.settings.upstreamAddress,
-          .isModel = findUpstream(options.document.document, options.settings.upstream).value_or(UpstreamRole{}).isModel,
           .onIncarnation = [this](Incarnation now) { runner.upstreamReplaced(now); },
       })
     , runner({
@@ -67,15 +86,23 @@
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
           .dump = [this] { return dump(); },
-          .ready = [this] { return !leaving && !upstream.isDown(); },
+          .ready = [this] { return !leaving && !upstream.isDown() && upstreamStarted && fleet.mayServe(); },
       })
 {
 }
 
 void Agent::Impl::onMessage(ConnectionId connection, Message message)
 {
+    if (fleet.received(connection, message)) {
+        return;
+    }
     if (const auto *const probe = std::get_if<Probe>(&message)) {
-        endpoint.send(connection, runner.probe(*probe));
+        ProbeReply reply = runner.probe(*probe);
+        if (!fleet.mayServe() && reply.state == static_cast<std::uint8_t>(UpstreamState::Accepting)) {
+            // Until the document is confirmed after a pause, new work goes elsewhere.
+            reply.state = static_cast<std::uint8_t>(UpstreamState::Down);
+        }
+        endpoint.send(connection, reply);
     } else if (auto *const submit = std::get_if<Submit>(&message)) {
         runner.submit(connection, std::move(*submit));
     } else if (const auto *const credit = std::get_if<Credit>(&message)) {
@@ -92,10 +119,34 @@
     }
 }
 
+void Agent::Impl::startUpstream()
+{
+    const auto role = findUpstream(document.current()->document, options.settings.upstream);
+    if (!role || upstreamStarted) {
+        return;
+    }
+    upstreamStarted = true;
+    upstream.start(role->isModel);
+}
+
+void Agent::Impl::publishUpstream()
+{
+    UpstreamStatus status{ .incarnation = upstream.incarnation(), .state = UpstreamState::Down, .route = {}, .weightsVersion = {} };
+    if (const auto role = findUpstream(document.current()->document, options.settings.upstream)) {
+        status.route = role->route;
+        status.weightsVersion = role->weightsVersion;
+        if (!upstream.isDown()) {
+            status.state = leaving ? UpstreamState::Leaving : UpstreamState::Accepting;
+        }
+    }
+    fleet.setUpstream(status);
+}
+
 void Agent::Impl::tick()
 {
     const Micros now = monotonicNow();
     runner.tick(now);
+    publishUpstream();
     if (!leaving || stopped) {
         return;
     }
@@ -115,6 +166,7 @@
     state["upstream"] = options.settings.upstream;
     state["upstream_incarnation"] = toHex(upstream.incarnation());
     state["upstream_down"] = upstream.isDown();
+    state["fleet"] = fleet.dump();
     state["config_version"] = Json::UInt64(document.current()->version);
     return state;
 }
@@ -129,7 +181,8 @@
 std::error_code Agent::start()
 {
     const ProcessSettings &process = impl_->options.settings.process;
-    if (!findUpstream(impl_->document.current()->document, impl_->options.settings.upstream)) {
+    const auto initial = impl_->document.current();
+    if (initial->isPresent() && !findUpstream(initial->document, impl_->options.settings.upstream)) {
         return Errc::InvalidSettings;
     }
     if (const std::error_code error = impl_->endpoint.listen(process.wireAddress)) {
@@ -138,7 +191,12 @@
     if (const std::error_code error = impl_->admin.listen(process.adminAddress)) {
         return error;
     }
-    impl_->upstream.start();
+    if (const std::error_code error = impl_->fleet.start()) {
+        return error;
+    }
+    impl_->document.onReplaced([this](const VersionedDocument &) { impl_->startUpstream(); });
+    impl_->startUpstream();
+    impl_->publishUpstream();
     impl_->tickTimer.startRepeating(TickInterval, [this] { impl_->tick(); });
     logEvent(LogLevel::Info, "started", { { "incarnation", toHex(impl_->incarnation) }, { "wire_port", wirePort() }, { "admin_port", adminPort() } });
     return {};
@@ -153,6 +211,8 @@
     impl_->leaving = true;
     impl_->stopBy = monotonicNow() + impl_->options.settings.process.shutdownDeadline;
     impl_->runner.beginLeaving();
+    impl_->publishUpstream();
+    impl_->fleet.beginLeaving();
 }
 
 std::uint16_t Agent::wirePort() const
--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -29,9 +29,9 @@
     g_cancellable_cancel(cancellable_.get());
 }
 
-void UpstreamClient::start()
+void UpstreamClient::start(bool isModel)
 {
-    if (options_.isModel) {
+    if (isModel) {
         poll();
         pollTimer_.startRepeating(PollInterval, [this] { poll(); });
     }
--- a/packages/agent/src/upstream_client.h
+++ b/packages/agent/src/upstream_client.h
@@ -12,7 +12,6 @@
 public:
     struct Options {
         std::string address; ///< "ip:port".
-        bool isModel = false;
         std::function<void(Incarnation)> onIncarnation; ///< The engine has started anew, or is seen for the first time.
     };
 
@@ -21,8 +20,8 @@
     UpstreamClient(const UpstreamClient &) = delete;
     UpstreamClient &operator=(const UpstreamClient &) = delete;
 
-    /// Begins to watch the engine.
-    void start();
+    /// Begins to watch an engine; plain services are not watched.
+    void start(bool isModel);
 
     /// A call that has not started yet. Its answer keeps the engine's incarnation up to date.
     [[nodiscard]] std::unique_ptr<UpstreamCall> makeCall(UpstreamRequest request, const std::string &path, UpstreamCall::Events events);
--- a/packages/entry/tests/harness.cpp
+++ b/packages/entry/tests/harness.cpp
@@ -10,6 +10,8 @@
 
 constexpr const char *FleetKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 constexpr std::uint32_t TestSlots = 4;
+/// Far beyond what a test waits, unless it is about the deadline.
+constexpr int TestDeadlineMillis = 30'000;
 
 /// The data lines of server-sent events.
 std::vector<std::string> dataLines(const std::string &body)
@@ -371,20 +373,53 @@
 
 VersionedDocument testDocument()
 {
-    EnvironmentDocument document;
-    document.name = "guild";
-    for (const char *const name : { "needle-1", "needle-2" }) {
-        document.modelServers.push_back({ .name = name, .zone = "zagreb-a", .model = "needle", .weightsVersion = "v1", .adapters = {}, .slots = TestSlots });
+    Json::Value document(Json::objectValue);
+    document["name"] = "guild";
+    document["regions"][0]["name"] = "hr-kontinent";
+    document["zones"][0]["name"] = "zagreb-a";
+    document["zones"][0]["region"] = "hr-kontinent";
+    for (const char *const rank : { "paying", "free" }) {
+        Json::Value &spec = document["ranks"][rank];
+        spec["floor"] = 0.1;
+        spec["firstTokenTargetMs"] = 400;
+        spec["betweenTokensTargetMs"] = 43;
+        spec["deadlineMs"] = TestDeadlineMillis;
     }
-    document.modelServers.push_back(
-        { .name = "needle-new", .zone = "zagreb-a", .model = "needle", .weightsVersion = "v2", .adapters = {}, .slots = TestSlots });
-    document.services.push_back({
-        .name = "stamps",
-        .routes = { { .method = "POST", .path = "/stamps", .repeatable = false }, { .method = "GET", .path = "/stamps/", .repeatable = true } },
-        .servers = { { .name = "stamps-1", .zone = "zagreb-a", .slots = TestSlots }, { .name = "stamps-2", .zone = "zagreb-a", .slots = TestSlots } },
-    });
-    document.accounts.push_back({ .name = "guild", .keyDigests = { digestOf(CallerKey) }, .rank = Rank::Paying });
-    return { .version = 1, .digest = {}, .text = {}, .document = std::move(document) };
+    const auto server = [](const char *name) {
+        Json::Value made(Json::objectValue);
+        made["name"] = name;
+        made["zone"] = "zagreb-a";
+        made["slots"] = TestSlots;
+        return made;
+    };
+    for (const char *const name : { "needle-1", "needle-2", "needle-new" }) {
+        Json::Value made = server(name);
+        made["model"] = "needle";
+        made["weightsVersion"] = std::string_view(name) == "needle-new" ? "v2" : "v1";
+        made["cacheBlocks"] = 4096;
+        document["modelServers"].append(made);
+    }
+    Json::Value &stamps = document["services"][0];
+    stamps["name"] = "stamps";
+    for (const bool repeatable : { false, true }) {
+        Json::Value route(Json::objectValue);
+        route["method"] = repeatable ? "GET" : "POST";
+        route["path"] = repeatable ? "/stamps/" : "/stamps";
+        route["repeatable"] = repeatable;
+        stamps["routes"].append(route);
+    }
+    stamps["servers"].append(server("stamps-1"));
+    stamps["servers"].append(server("stamps-2"));
+    Json::Value &account = document["accounts"][0];
+    account["name"] = "guild";
+    account["keyDigests"][0] = digestOf(CallerKey);
+    account["rank"] = "paying";
+    const std::string text = writeJson(document);
+    ParsedDocument parsed = parseDocument(text, "test document");
+    if (!parsed.ok()) {
+        g_error("%s", toString(parsed.errors.front()).c_str());
+    }
+    return { .version = 1, .digest = digestOf(text), .text = text, .document = std::move(parsed.document) };
 }
 
 EntrySettings entrySettings(const std::vector<std::string> &seeds)
@@ -392,6 +427,7 @@
     EntrySettings settings;
     settings.process.name = "entry-1";
     settings.process.zone = "zagreb-a";
+    settings.process.environment = "guild";
     settings.process.seeds = seeds;
     settings.process.fleetKeys = { { .id = 1, .key = FleetKey } };
     return settings;
@@ -402,6 +438,7 @@
     AgentSettings settings;
     settings.process.name = "agent-" + upstream;
     settings.process.zone = "zagreb-a";
+    settings.process.environment = "guild";
     settings.process.fleetKeys = { { .id = 1, .key = FleetKey } };
     settings.upstream = upstream;
     settings.upstreamAddress = upstreamAddress;
--- a/packages/membership/include/carobhall/membership.h
+++ b/packages/membership/include/carobhall/membership.h
@@ -239,6 +239,9 @@
     /// Spreads a fact. Ignored when one with an equal or greater value is known. Precondition: text is at most MaxFactText bytes.
     void publish(const Fact &fact, Micros now);
 
+    /// Adds to the seeds, for example from a list that arrives after the start. Known ones are skipped.
+    void addSeeds(std::span<const std::string> addresses);
+
     /// Changes what this process says of itself. Name, address and incarnation stay as they are.
     void updateSelf(const std::function<void(MemberInfo &)> &change, Micros now);
 
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -294,6 +294,16 @@
     impl_->pushEagerly();
 }
 
+void Membership::addSeeds(std::span<const std::string> addresses)
+{
+    std::vector<std::string> &seeds = impl_->options.seeds;
+    for (const std::string &address : addresses) {
+        if (std::find(seeds.begin(), seeds.end(), address) == seeds.end()) {
+            seeds.push_back(address);
+        }
+    }
+}
+
 void Membership::reportFailure(Incarnation incarnation)
 {
     if (incarnation != self().info.incarnation) {
--- a/packages/runtime/include/carobhall/runtime.h
+++ b/packages/runtime/include/carobhall/runtime.h
@@ -136,6 +136,12 @@
     std::string digest;
     std::string text; ///< Byte for byte, to pass on to peers.
     EnvironmentDocument document;
+
+    /// False in a process that has not received a document yet.
+    [[nodiscard]] bool isPresent() const
+    {
+        return !digest.empty();
+    }
 };
 
 /// The one place in a process that holds the environment document in effect.
@@ -146,7 +152,7 @@
 
     /// The document in effect. A holder of the pointer keeps that version.
     [[nodiscard]] const std::shared_ptr<const VersionedDocument> &current() const;
-    /// Puts \p next into effect and tells the listeners. Returns false when it is not newer.
+    /// Puts \p next into effect and tells the listeners. Returns false when it is not newer than a document that is present.
     bool replace(VersionedDocument next);
     /// \p listener is called after each replacement, as long as the holder lives.
     void onReplaced(std::function<void(const VersionedDocument &)> listener);
--- a/packages/runtime/src/document_holder.cpp
+++ b/packages/runtime/src/document_holder.cpp
@@ -17,7 +17,7 @@
 
 bool DocumentHolder::replace(VersionedDocument next)
 {
-    if (next.version <= current_->version) {
+    if (current_->isPresent() && next.version <= current_->version) {
         return false;
     }
     current_ = std::make_shared<const VersionedDocument>(std::move(next));
--- a/packages/runtime/src/startup.cpp
+++ b/packages/runtime/src/startup.cpp
@@ -89,16 +89,19 @@
     if (!fleetKeysFrom(process.fleetKeys)) {
         return report(file + ": fleetKeys: expected at least one key of 64 hexadecimal digits");
     }
-    const auto documentText = readFile(process.documentFile);
-    if (!documentText) {
-        return report("cannot read the document \"" + process.documentFile + "\"");
-    }
-    auto parsed = parseDocument(*documentText, process.documentFile);
-    if (!parsed.ok()) {
-        return report(parsed.errors);
+    VersionedDocument document;
+    if (!process.documentFile.empty()) {
+        const auto documentText = readFile(process.documentFile);
+        if (!documentText) {
+            return report("cannot read the document \"" + process.documentFile + "\"");
+        }
+        auto parsed = parseDocument(*documentText, process.documentFile);
+        if (!parsed.ok()) {
+            return report(parsed.errors);
+        }
+        document = { .version = 0, .digest = digestOf(*documentText), .text = *documentText, .document = std::move(parsed.document) };
     }
     initLogging(process.name, process.logLevel);
-    VersionedDocument document{ .version = 0, .digest = digestOf(*documentText), .text = *documentText, .document = std::move(parsed.document) };
     return StartUp<Settings>{ .settings = std::move(loaded.settings), .document = std::move(document) };
 }
 
