--- a/packages/agent/include/carobhall/agent.h
+++ b/packages/agent/include/carobhall/agent.h
@@ -17,9 +17,9 @@
 
 struct AgentOptions {
     AgentSettings settings;
-    VersionedDocument document;
+    VersionedDocument document;                           ///< Empty: the agent waits for one from a peer or the platform.
     std::function<void()> onStopped;                      ///< A graceful shutdown is complete, or its deadline has passed.
-    std::function<void(const SuspectFact &)> onSuspect{}; ///< A fact that other processes should know; may be empty.
+    std::function<void(const SuspectFact &)> onSuspect{}; ///< Learns of suspects as they change; may be empty.
     Micros stallLimit = 30 * MicrosPerSecond;             ///< An answer of which nothing is taken this long is cancelled.
 };
 
@@ -33,15 +33,12 @@
     Agent &operator=(const Agent &) = delete;
 
     /// Starts listening. Fails with std::errc::address_in_use when an address is taken, and with Errc::InvalidSettings when
-    /// the document does not contain the upstream.
+    /// there is a document that does not contain the upstream.
     std::error_code start();
 
     /// Refuses new work as not run, finishes what was accepted, then calls onStopped. Repeated calls do nothing.
     void beginShutdown();
 
-    /// Another process says that a request was in flight at a crash.
-    void mergeSuspect(const SuspectFact &fact);
-
     [[nodiscard]] std::uint16_t wirePort() const;
     [[nodiscard]] std::uint16_t adminPort() const;
     [[nodiscard]] Incarnation incarnation() const;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -1,6 +1,8 @@
 #include "carobhall/agent.h"
 #include "attempt_runner.h"
 #include "cache_feed.h"
+#include "carobhall/fleet.h"
+#include "suspect_news.h"
 
 namespace Carobhall
 {
@@ -10,29 +12,12 @@
 
 constexpr Micros TickInterval = 10 * MicrosPerMilli;
 
-/// Agents that may make claims: those beside servers of services with calls that must not be repeated.
-double countClaimers(const EnvironmentDocument &document)
+std::unique_ptr<ClaimStep> makeClaims(const AgentSettings &settings, Incarnation holder, PlatformClient *platform)
 {
-    std::size_t count = 0;
-    for (const PlainServiceSpec &service : document.services) {
-        const bool claims = std::any_of(service.routes.begin(), service.routes.end(), [](const RouteSpec &route) { return !route.repeatable; });
-        count += claims ? service.servers.size() : 0;
-    }
-    return static_cast<double>(std::max<std::size_t>(count, 1));
-}
-
-std::unique_ptr<ClaimStep> makeClaims(const AgentSettings &settings, const EnvironmentDocument &document, Incarnation holder)
-{
-    const ProcessSettings &process = settings.process;
-    if (process.platformAddress.empty()) {
+    if (platform == nullptr) {
         return std::make_unique<NoClaims>();
     }
-    return std::make_unique<PlatformClaims>(PlatformClaims::Options{
-        .address = process.platformAddress,
-        .environment = process.environment.empty() ? document.name : process.environment,
-        .holder = holder,
-        .callers = countClaimers(document),
-    });
+    return std::make_unique<PlatformClaims>(*platform, settings.process.environment, holder);
 }
 
 } // namespace
@@ -41,6 +26,8 @@
     explicit Impl(AgentOptions agentOptions);
 
     void onMessage(ConnectionId connection, Message message);
+    void startUpstream();
+    void publishUpstream();
     void tick();
     [[nodiscard]] Json::Value dump() const;
 
@@ -48,15 +35,16 @@
     Incarnation incarnation = drawIncarnation();
     Metrics metrics;
     DocumentHolder document;
-    std::unique_ptr<ClaimStep> claims;
     PrefixState prefixes;
     Endpoint endpoint;
+    Fleet fleet;
+    std::unique_ptr<ClaimStep> claims;
     UpstreamClient upstream;
     CacheFeed feed;
-    bool isModel = false;
     AttemptRunner runner;
     AdminListener admin;
     Timer tickTimer;
+    bool upstreamStarted = false;
     bool leaving = false;
     bool stopped = false;
     Micros stopBy = 0;
@@ -65,7 +53,6 @@
 Agent::Impl::Impl(AgentOptions agentOptions)
     : options(std::move(agentOptions))
     , document(options.document)
-    , claims(makeClaims(options.settings, options.document.document, incarnation))
     , endpoint({
           .keys = fleetKeysFrom(options.settings.process.fleetKeys).value_or(FleetKeys{}),
           .self = { .name = options.settings.process.name,
@@ -74,15 +61,35 @@
                     .kind = static_cast<std::uint8_t>(ProcessKind::Agent),
                     .upstream = options.settings.upstream },
           .onOpen =
-              [](ConnectionId, const PeerInfo &peer) {
+              [this](ConnectionId connection, const PeerInfo &peer) {
                   logEvent(LogLevel::Debug, "peer_connected", { { "peer", peer.name } });
+                  fleet.opened(connection, peer);
               },
           .onMessage = [this](ConnectionId connection, Message message) { onMessage(connection, std::move(message)); },
-          .onClosed = [this](ConnectionId connection, std::error_code) { runner.connectionClosed(connection); },
+          .onClosed =
+              [this](ConnectionId connection, std::error_code) {
+                  fleet.closed(connection);
+                  runner.connectionClosed(connection);
+              },
+      })
+    , fleet({
+          .process = options.settings.process,
+          .kind = ProcessKind::Agent,
+          .incarnation = incarnation,
+          .upstream = options.settings.upstream,
+          .endpoint = endpoint,
+          .document = document,
+          .onMembers = {},
+          .onFact =
+              [this](const Fact &fact) {
+                  if (const auto suspect = suspectFrom(fact)) {
+                      runner.mergeSuspect(*suspect);
+                  }
+              },
       })
+    , claims(makeClaims(options.settings, incarnation, fleet.platform()))
     , upstream({
           .address = options.settings.upstreamAddress,
-          .isModel = findUpstream(options.document.document, options.settings.upstream).value_or(UpstreamRole{}).isModel,
           .onIncarnation =
               [this](Incarnation now) {
                   feed.engineIs(now);
@@ -95,7 +102,6 @@
           .onIncarnation = [this](Incarnation now) { upstream.noteIncarnation(now); },
           .onBroken = [this] { upstream.check(upstream.incarnation(), [](EngineCheck) {}); },
       })
-    , isModel(findUpstream(options.document.document, options.settings.upstream).value_or(UpstreamRole{}).isModel)
     , runner({
           .settings = options.settings,
           .incarnation = incarnation,
@@ -106,20 +112,34 @@
           .prefixes = prefixes,
           .metrics = metrics,
           .stallLimit = options.stallLimit,
-          .onSuspect = options.onSuspect,
+          .onSuspect =
+              [this](const SuspectFact &fact) {
+                  fleet.publish(factOf(fact));
+                  if (options.onSuspect) {
+                      options.onSuspect(fact);
+                  }
+              },
       })
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
           .dump = [this] { return dump(); },
-          .ready = [this] { return !leaving && !upstream.isDown(); },
+          .ready = [this] { return !leaving && !upstream.isDown() && upstreamStarted && fleet.mayServe(); },
       })
 {
 }
 
 void Agent::Impl::onMessage(ConnectionId connection, Message message)
 {
+    if (fleet.received(connection, message)) {
+        return;
+    }
     if (const auto *const probe = std::get_if<Probe>(&message)) {
-        endpoint.send(connection, runner.probe(*probe));
+        ProbeReply reply = runner.probe(*probe);
+        if (!fleet.mayServe() && reply.state == static_cast<std::uint8_t>(UpstreamState::Accepting)) {
+            // Until the document is confirmed after a pause, new work goes elsewhere.
+            reply.state = static_cast<std::uint8_t>(UpstreamState::Down);
+        }
+        endpoint.send(connection, reply);
     } else if (auto *const submit = std::get_if<Submit>(&message)) {
         runner.submit(connection, std::move(*submit));
     } else if (const auto *const credit = std::get_if<Credit>(&message)) {
@@ -136,12 +156,41 @@
     }
 }
 
+void Agent::Impl::startUpstream()
+{
+    const auto role = findUpstream(document.current()->document, options.settings.upstream);
+    if (!role || upstreamStarted) {
+        return;
+    }
+    upstreamStarted = true;
+    upstream.start(role->isModel);
+    if (role->isModel) {
+        feed.start();
+    } else if (fleet.platform() == nullptr) {
+        logEvent(LogLevel::Warning, "no_platform", { { "effect", "calls with an Idempotency-Key that must not be repeated are refused" } });
+    }
+}
+
+void Agent::Impl::publishUpstream()
+{
+    UpstreamStatus status{ .incarnation = upstream.incarnation(), .state = UpstreamState::Down, .route = {}, .weightsVersion = {} };
+    if (const auto role = findUpstream(document.current()->document, options.settings.upstream)) {
+        status.route = role->route;
+        status.weightsVersion = role->weightsVersion;
+        if (!upstream.isDown()) {
+            status.state = leaving ? UpstreamState::Leaving : UpstreamState::Accepting;
+        }
+    }
+    fleet.setUpstream(status);
+}
+
 void Agent::Impl::tick()
 {
     const Micros now = monotonicNow();
     claims->tick(now);
     feed.tick(now);
     runner.tick(now);
+    publishUpstream();
     if (!leaving || stopped) {
         return;
     }
@@ -161,6 +210,7 @@
     state["upstream"] = options.settings.upstream;
     state["upstream_incarnation"] = toHex(upstream.incarnation());
     state["upstream_down"] = upstream.isDown();
+    state["fleet"] = fleet.dump();
     state["config_version"] = Json::UInt64(document.current()->version);
     return state;
 }
@@ -175,7 +225,8 @@
 std::error_code Agent::start()
 {
     const ProcessSettings &process = impl_->options.settings.process;
-    if (!findUpstream(impl_->document.current()->document, impl_->options.settings.upstream)) {
+    const auto initial = impl_->document.current();
+    if (initial->isPresent() && !findUpstream(initial->document, impl_->options.settings.upstream)) {
         return Errc::InvalidSettings;
     }
     if (const std::error_code error = impl_->endpoint.listen(process.wireAddress)) {
@@ -184,12 +235,12 @@
     if (const std::error_code error = impl_->admin.listen(process.adminAddress)) {
         return error;
     }
-    impl_->upstream.start();
-    if (impl_->isModel) {
-        impl_->feed.start();
-    } else if (process.platformAddress.empty()) {
-        logEvent(LogLevel::Warning, "no_platform", { { "effect", "calls with an Idempotency-Key that must not be repeated are refused" } });
+    if (const std::error_code error = impl_->fleet.start()) {
+        return error;
     }
+    impl_->document.onReplaced([this](const VersionedDocument &) { impl_->startUpstream(); });
+    impl_->startUpstream();
+    impl_->publishUpstream();
     impl_->tickTimer.startRepeating(TickInterval, [this] { impl_->tick(); });
     logEvent(LogLevel::Info, "started", { { "incarnation", toHex(impl_->incarnation) }, { "wire_port", wirePort() }, { "admin_port", adminPort() } });
     return {};
@@ -204,11 +255,8 @@
     impl_->leaving = true;
     impl_->stopBy = monotonicNow() + impl_->options.settings.process.shutdownDeadline;
     impl_->runner.beginLeaving();
-}
-
-void Agent::mergeSuspect(const SuspectFact &fact)
-{
-    impl_->runner.mergeSuspect(fact);
+    impl_->publishUpstream();
+    impl_->fleet.beginLeaving();
 }
 
 std::uint16_t Agent::wirePort() const
--- a/packages/agent/src/attempt_queue.cpp
+++ b/packages/agent/src/attempt_queue.cpp
@@ -21,14 +21,19 @@
 } // namespace
 
 AttemptQueue::AttemptQueue(const EnvironmentDocument &document, const UpstreamRole &role, std::uint64_t seed)
-    : admission_(admissionOptions(document, role), seed)
+    : seed_(seed)
 {
     configure(document, role);
 }
 
 void AttemptQueue::configure(const EnvironmentDocument &document, const UpstreamRole &role)
 {
-    admission_.configure(std::max<std::uint32_t>(role.slots, 1), document.ranks);
+    if (admission_ == nullptr || admission_->totals().offered == 0) {
+        // The first document that names the upstream also tells whether it is a model.
+        admission_ = std::make_unique<Admission<FairOrder>>(admissionOptions(document, role), seed_);
+    } else {
+        admission_->configure(std::max<std::uint32_t>(role.slots, 1), document.ranks);
+    }
     shares_.clear();
     for (const AccountSpec &account : document.accounts) {
         shares_[account.name] = account.share;
@@ -46,7 +51,7 @@
         .deadline = item.startBy,
         .alone = item.alone,
     };
-    const Admitted admitted = admission_.offer(work, now);
+    const Admitted admitted = admission_->offer(work, now);
     if (!admitted) {
         return QueueRefusal{ .error = admitted.error, .retryAfter = admitted.retryAfter };
     }
@@ -57,7 +62,7 @@
 
 std::optional<AttemptId> AttemptQueue::startNext(Micros now)
 {
-    const Ticket ticket = admission_.startNext(now);
+    const Ticket ticket = admission_->startNext(now);
     if (ticket == 0) {
         return std::nullopt;
     }
@@ -66,7 +71,7 @@
 
 std::optional<AttemptId> AttemptQueue::takeExpired(Micros now)
 {
-    const Ticket ticket = admission_.takeExpired(now);
+    const Ticket ticket = admission_->takeExpired(now);
     return ticket == 0 ? std::nullopt : forget(ticket);
 }
 
@@ -85,7 +90,7 @@
 bool AttemptQueue::cancel(const AttemptId &id)
 {
     const auto entry = tickets_.find(id);
-    if (entry == tickets_.end() || !admission_.cancel(entry->second)) {
+    if (entry == tickets_.end() || !admission_->cancel(entry->second)) {
         return false;
     }
     forget(entry->second);
@@ -95,7 +100,7 @@
 void AttemptQueue::correctCost(const AttemptId &id, double cost)
 {
     if (const auto entry = tickets_.find(id); entry != tickets_.end()) {
-        admission_.correctCost(entry->second, std::max(cost, 1.0));
+        admission_->correctCost(entry->second, std::max(cost, 1.0));
     }
 }
 
@@ -103,29 +108,29 @@
 {
     if (const auto entry = tickets_.find(id); entry != tickets_.end()) {
         const Ticket ticket = entry->second;
-        admission_.finish(ticket, std::max(trueCost, 1.0), now);
+        admission_->finish(ticket, std::max(trueCost, 1.0), now);
         forget(ticket);
     }
 }
 
 Micros AttemptQueue::expectedWait(Rank rank, std::string_view account, Micros now)
 {
-    return admission_.expectedWait(rank, account, now);
+    return admission_->expectedWait(rank, account, now);
 }
 
 std::uint32_t AttemptQueue::queued() const
 {
-    return admission_.queued(Rank::Paying) + admission_.queued(Rank::Free);
+    return admission_->queued(Rank::Paying) + admission_->queued(Rank::Free);
 }
 
 std::uint32_t AttemptQueue::running() const
 {
-    return admission_.running();
+    return admission_->running();
 }
 
 std::string AttemptQueue::violation() const
 {
-    return admission_.violation();
+    return admission_->violation();
 }
 
 } // namespace Carobhall
--- a/packages/agent/src/attempt_queue.h
+++ b/packages/agent/src/attempt_queue.h
@@ -55,7 +55,8 @@
 private:
     std::optional<AttemptId> forget(Ticket ticket);
 
-    Admission<FairOrder> admission_;
+    std::uint64_t seed_;
+    std::unique_ptr<Admission<FairOrder>> admission_;
     std::unordered_map<std::string, double> shares_; ///< By account.
     std::unordered_map<AttemptId, Ticket> tickets_;
     std::unordered_map<Ticket, AttemptId> ids_;
--- a/packages/agent/src/claim_step.cpp
+++ b/packages/agent/src/claim_step.cpp
@@ -89,10 +89,8 @@
 
 // PlatformClaims ----------------------------------------------------------------------------------
 
-PlatformClaims::PlatformClaims(const Options &options)
-    : transport_({ .address = options.address })
-    , client_(transport_, { .seed = options.holder, .callers = options.callers })
-    , claims_(client_, { .environment = options.environment, .holder = options.holder, .seed = options.holder })
+PlatformClaims::PlatformClaims(PlatformClient &client, const std::string &environment, Incarnation holder)
+    : claims_(client, { .environment = environment, .holder = holder, .seed = holder })
 {
     claims_.tick(monotonicNow(), wallClockNow());
 }
@@ -119,7 +117,6 @@
 
 void PlatformClaims::tick(Micros now)
 {
-    client_.tick(now);
     claims_.tick(now, wallClockNow());
 }
 
--- a/packages/agent/src/claim_step.h
+++ b/packages/agent/src/claim_step.h
@@ -4,7 +4,6 @@
 
 #include "carobhall/claims.h"
 #include "carobhall/messages.h"
-#include "carobhall/soup_transport.h"
 
 namespace Carobhall
 {
@@ -65,14 +64,8 @@
 class PlatformClaims : public ClaimStep
 {
 public:
-    struct Options {
-        std::string address;     ///< "ip:port" of the platform.
-        std::string environment; ///< Name of the environment document.
-        Incarnation holder = 0;  ///< Of this process.
-        double callers = 1.0;    ///< Processes of the fleet that make claims.
-    };
-
-    explicit PlatformClaims(const Options &options);
+    /// \p client must outlive the claims and is ticked by its owner. \p environment is the name of the environment document.
+    PlatformClaims(PlatformClient &client, const std::string &environment, Incarnation holder);
 
     void claim(const Submit &submit, std::function<void(ClaimOutcome)> done) override;
     void release(const Submit &submit) override;
@@ -81,8 +74,6 @@
     [[nodiscard]] bool isIdle() const override;
 
 private:
-    SoupTransport transport_;
-    PlatformClient client_;
     Claims claims_;
 };
 
