--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -95,6 +95,12 @@
                   feed.engineIs(now);
                   runner.upstreamReplaced(now);
               },
+          .onLoad =
+              [this](const std::string &text) {
+                  if (const auto load = parseJson(text); load && load->isObject() && (*load)["prefill_micros_per_piece"].isInt64()) {
+                      prefixes.suggestPrefillPerPiece((*load)["prefill_micros_per_piece"].asInt64());
+                  }
+              },
       })
     , feed({
           .address = options.settings.upstreamAddress,
--- a/packages/agent/src/attempt_running.cpp
+++ b/packages/agent/src/attempt_running.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// The flight's expected end is an estimate. A follower that starts shortly before the real end computes everything again,
+/// and the flight's first token ends the wait in any case.
+constexpr Micros FollowSlack = 2;
 /// A longer answer of a claimed call is not kept; its repeats get the verdict without it.
 constexpr std::size_t MaxKeptAnswer = std::size_t{ 256 } << 10U;
 
@@ -55,7 +58,7 @@
     if (const Micros wait = role_.isModel ? options_.prefixes.waitFor(attempt.prefill.samples, now) : 0; wait > 0) {
         attempt.state = AttemptState::Following;
         attempt.prefill.followedPieces = options_.prefixes.usablePieces(attempt.prefill.samples, now);
-        attempt.prefill.followUntil = std::min(now + wait, attempt.receivedAt + attempt.submit.timeout);
+        attempt.prefill.followUntil = std::min(now + FollowSlack * wait, attempt.receivedAt + attempt.submit.timeout);
         options_.metrics.count("carobhall_agent_prefix_waits_total");
         return;
     }
--- a/packages/agent/src/cache_feed.cpp
+++ b/packages/agent/src/cache_feed.cpp
@@ -15,6 +15,8 @@
 constexpr Micros PollPause = 10 * MicrosPerMilli;
 /// Between tries to close a gap by asking for the same events again.
 constexpr Micros GapPause = 50 * MicrosPerMilli;
+/// The loss of the latest events shows only when another event follows; a snapshot from time to time bounds how long it lasts.
+constexpr Micros ResyncInterval = 30 * MicrosPerSecond;
 constexpr Micros BrokenPause = 100 * MicrosPerMilli;
 /// For an engine that has no such interface.
 constexpr Micros UnsupportedPause = 5 * MicrosPerSecond;
@@ -90,7 +92,7 @@
 void CacheFeed::ask()
 {
     const CacheIndex &index = options_.prefixes.index();
-    const bool snapshot = wantsSnapshot_ || index.needsSnapshot();
+    const bool snapshot = wantsSnapshot_ || index.needsSnapshot() || snapshotAt_ + ResyncInterval < monotonicNow();
     const std::string path = snapshot ? "/kv/snapshot" : "/kv/events?after=" + std::to_string(index.nextSequence() - 1);
     httpGet(session_.get(), "http://" + options_.address + path, cancellable_.get(), [this, snapshot](const HttpReply &reply) { onReply(reply, snapshot); });
 }
@@ -138,6 +140,7 @@
     readHashes(body["hashes"], hashes_);
     options_.prefixes.index().loadSnapshot(incarnation, body["seq"].asUInt64(), hashes_, monotonicNow());
     wantsSnapshot_ = false;
+    snapshotAt_ = monotonicNow();
 }
 
 void CacheFeed::readEvents(Incarnation incarnation, const Json::Value &body)
--- a/packages/agent/src/cache_feed.h
+++ b/packages/agent/src/cache_feed.h
@@ -41,6 +41,7 @@
     Timer next_;
     bool started_ = false;
     bool wantsSnapshot_ = true;
+    Micros snapshotAt_ = 0;
     std::vector<PrefixHash> hashes_; ///< Of one event; kept for its memory.
 };
 
--- a/packages/agent/src/prefix_state.cpp
+++ b/packages/agent/src/prefix_state.cpp
@@ -9,10 +9,18 @@
 /// Fewer pieces say more about the time of one decoding step than about prefill.
 constexpr std::uint32_t FewestPiecesToLearn = 4;
 
+LearnedValue prefillFrom(double initial)
+{
+    return LearnedValue({ .initial = initial, .low = 1.0, .high = 1.0 * MicrosPerSecond });
+}
+
+/// Until the engine has reported one.
+constexpr double InitialPrefillPerPiece = 1000.0;
+
 } // namespace
 
 PrefixState::PrefixState()
-    : prefill_({ .initial = 1000.0, .low = 1.0, .high = 1.0 * MicrosPerSecond })
+    : prefill_(prefillFrom(InitialPrefillPerPiece))
 {
 }
 
@@ -65,9 +73,17 @@
     flights_ = SingleFlight();
 }
 
+void PrefixState::suggestPrefillPerPiece(Micros reported)
+{
+    if (!learned_ && reported > 0) {
+        prefill_ = prefillFrom(static_cast<double>(reported));
+    }
+}
+
 void PrefixState::learn(std::uint32_t uncached, Micros elapsed)
 {
     if (uncached >= FewestPiecesToLearn) {
+        learned_ = true;
         prefill_.add(static_cast<double>(elapsed) / uncached);
     }
 }
--- a/packages/agent/src/prefix_state.h
+++ b/packages/agent/src/prefix_state.h
@@ -33,6 +33,8 @@
     /// All flights are lost with the engine.
     void clearFlights();
 
+    /// The engine's own figure; it counts until the first sample.
+    void suggestPrefillPerPiece(Micros reported);
     /// Learns from a first token that came after \p elapsed with \p uncached pieces to compute.
     void learn(std::uint32_t uncached, Micros elapsed);
     [[nodiscard]] Micros prefillPerPiece() const;
@@ -42,6 +44,7 @@
     SingleFlight flights_;
     LearnedValue prefill_;
     bool current_ = false;
+    bool learned_ = false;
 };
 
 /// Pieces of the longest prefix that both prompts are known to share. Both ascend.
--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -94,6 +94,9 @@
         }
         downUntil_ = 0;
         noteIncarnation(incarnationFrom(reply.incarnation));
+        if (options_.onLoad) {
+            options_.onLoad(reply.body);
+        }
     });
 }
 
--- a/packages/agent/src/upstream_client.h
+++ b/packages/agent/src/upstream_client.h
@@ -19,8 +19,9 @@
 {
 public:
     struct Options {
-        std::string address;                            ///< "ip:port".
-        std::function<void(Incarnation)> onIncarnation; ///< The engine has started anew, or is seen for the first time.
+        std::string address;                             ///< "ip:port".
+        std::function<void(Incarnation)> onIncarnation;  ///< The engine has started anew, or is seen for the first time.
+        std::function<void(const std::string &)> onLoad; ///< The engine's report, JSON text. May be empty.
     };
 
     explicit UpstreamClient(Options options);
