--- a/packages/agent/include/carobhall/agent.h
+++ b/packages/agent/include/carobhall/agent.h
@@ -10,17 +10,15 @@
 // Everything is used from the thread that iterates GLib's default main context.
 
 #include "carobhall/runtime.h"
-#include "carobhall/suspects.h"
 
 namespace Carobhall
 {
 
 struct AgentOptions {
     AgentSettings settings;
-    VersionedDocument document;                           ///< Empty: the agent waits for one from a peer or the platform.
-    std::function<void()> onStopped;                      ///< A graceful shutdown is complete, or its deadline has passed.
-    std::function<void(const SuspectFact &)> onSuspect{}; ///< Learns of suspects as they change; may be empty.
-    Micros stallLimit = 30 * MicrosPerSecond;             ///< An answer of which nothing is taken this long is cancelled.
+    VersionedDocument document;               ///< Empty: the agent waits for one from a peer or the platform.
+    std::function<void()> onStopped;          ///< A graceful shutdown is complete, or its deadline has passed.
+    Micros stallLimit = 30 * MicrosPerSecond; ///< An answer of which nothing is taken this long is cancelled.
 };
 
 class Agent
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -118,13 +118,7 @@
           .prefixes = prefixes,
           .metrics = metrics,
           .stallLimit = options.stallLimit,
-          .onSuspect =
-              [this](const SuspectFact &fact) {
-                  fleet.publish(factOf(fact));
-                  if (options.onSuspect) {
-                      options.onSuspect(fact);
-                  }
-              },
+          .onSuspect = [this](const SuspectFact &fact) { fleet.publish(factOf(fact)); },
       })
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
--- a/packages/agent/src/attempt_runner.cpp
+++ b/packages/agent/src/attempt_runner.cpp
@@ -168,8 +168,8 @@
     if (!role_.isModel) {
         return 1.0;
     }
-    const double tokens = attempt.submit.maxTokens == 0 ? answerTokens_.value() : attempt.submit.maxTokens;
-    return attempt.prefill.pieces - std::min(cachedPieces, attempt.prefill.pieces) + tokens;
+    const double tokens = attempt.submit.maxTokens == 0 ? answerTokens_.value() : attempt.submit.maxTokens - static_cast<double>(attempt.submit.resumeOffset);
+    return attempt.prefill.pieces - std::min(cachedPieces, attempt.prefill.pieces) + std::max(tokens, 1.0);
 }
 
 double AttemptRunner::trueCost(const Attempt &attempt) const
@@ -190,6 +190,7 @@
     attempt.connection = connection;
     attempt.lastConnection = connection;
     attempt.orphanedAt = 0;
+    attempt.stalledAt = 0;
     attempt.headSent = false;
     attempt.outcomeSent = false;
     options_.metrics.count("carobhall_agent_repeats_total", "result=\"resumed\"");
--- a/packages/agent/src/cache_feed.cpp
+++ b/packages/agent/src/cache_feed.cpp
@@ -69,7 +69,6 @@
         return; // Late news of an engine that has been replaced.
     }
     options_.prefixes.setCurrent(false);
-    options_.prefixes.clearFlights();
     wantsSnapshot_ = true;
     if (started_) {
         // A poll after the former engine's sequence would skip the first events of this one.
--- a/packages/agent/src/prefix_state.cpp
+++ b/packages/agent/src/prefix_state.cpp
@@ -68,11 +68,6 @@
     flights_.end(flight);
 }
 
-void PrefixState::clearFlights()
-{
-    flights_ = SingleFlight();
-}
-
 void PrefixState::suggestPrefillPerPiece(Micros reported)
 {
     if (!learned_ && reported > 0) {
--- a/packages/agent/src/prefix_state.h
+++ b/packages/agent/src/prefix_state.h
@@ -30,8 +30,6 @@
     std::uint64_t begin(std::span<const PrefixSample> samples, std::uint32_t pieces, Micros now);
     /// The first token is here, or never will be.
     void end(std::uint64_t flight);
-    /// All flights are lost with the engine.
-    void clearFlights();
 
     /// The engine's own figure; it counts until the first sample.
     void suggestPrefillPerPiece(Micros reported);
--- a/packages/agent/tests/agent_harness.cpp
+++ b/packages/agent/tests/agent_harness.cpp
@@ -2,6 +2,7 @@
 
 #include <glib/gstdio.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 
@@ -72,11 +73,8 @@
 {
     const char *const directory = std::getenv("CAROBHALL_BIN");
     arguments.insert(arguments.begin(), std::string(directory == nullptr ? "build/bin" : directory) + "/" + name);
-    std::vector<const char *> words;
-    for (const std::string &argument : arguments) {
-        words.push_back(argument.c_str());
-    }
-    words.push_back(nullptr);
+    std::vector<const char *> words(arguments.size() + 1, nullptr);
+    std::transform(arguments.begin(), arguments.end(), words.begin(), [](const std::string &argument) { return argument.c_str(); });
     const auto flags = static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE);
     output_->process.reset(g_subprocess_newv(words.data(), flags, nullptr));
     if (output_->process == nullptr) {
--- a/packages/agent/tests/agent_harness.h
+++ b/packages/agent/tests/agent_harness.h
@@ -92,8 +92,8 @@
     ConnectionId connection_ = 0;
     Incarnation self_ = drawIncarnation();
     std::uint64_t lastNumber_ = 0;
-    std::map<AttemptId, Seen> seen_;
-    std::map<std::uint64_t, ProbeReply> replies_;
+    std::unordered_map<AttemptId, Seen> seen_; ///< References to its values stay valid.
+    std::unordered_map<std::uint64_t, ProbeReply> replies_;
 };
 
 Submit completion(const std::string &prompt, std::uint32_t tokens = 4, Rank rank = Rank::Paying);
--- a/packages/agent/tests/engine_test.cpp
+++ b/packages/agent/tests/engine_test.cpp
@@ -143,11 +143,13 @@
     const Seen &follower = site.client->submit(completion(prompt));
     // The engine computes one prompt at a time by itself; an engine that computes both at once must not get the second.
     std::uint64_t mostAtEngine = 0;
-    BOOST_TEST(runUntil([&] {
+    const auto noteLoad = [&] {
         const Json::Value load = ask(*site.engine, "/load");
         mostAtEngine = std::max(mostAtEngine, load["running"].asUInt64() + load["waiting"].asUInt64());
-        return !leader.text.empty();
-    }));
+        return false;
+    };
+    // The prefix takes 320 ms.
+    runUntil(noteLoad, 200 * MicrosPerMilli);
     BOOST_TEST(mostAtEngine == 1U);
     BOOST_TEST(runUntil([&] { return leader.isComplete() && follower.isComplete(); }));
     BOOST_TEST(leader.head->cachedPieces == 0U);
@@ -195,6 +197,21 @@
     BOOST_TEST(third.engine->isAlive());
 }
 
+// Guards against two crashes at the same time whose facts know as much as each other, so that neither agent hears of the other.
+BOOST_AUTO_TEST_CASE(simultaneousCrashesAddUp)
+{
+    const std::vector<std::string> options{ "--crash-marker=BOOM", "--crash-after-tokens=2" };
+    Site first("needle-2", options);
+    Site second("needle-3", options, [&](AgentOptions &agent) { agent.settings.process.seeds = { first.address() }; });
+    const auto members = [](const Site &site) { return site.agent->dump()["fleet"]["members"].size(); };
+    BOOST_TEST(runUntil([&] { return members(first) == 2 && members(second) == 2; }));
+    const Submit crashing = withFingerprint(completion("BOOM", 9), 11);
+    const Seen &one = first.client->submit(crashing);
+    const Seen &other = second.client->submit(crashing);
+    BOOST_TEST(runUntil([&] { return one.isOver() && other.isOver(); }));
+    BOOST_TEST(runUntil([&] { return suspicionAt(first, 11) == Suspicion::Condemned && suspicionAt(second, 11) == Suspicion::Condemned; }));
+}
+
 // Guards against a failed call to an engine that is still there, for which nobody is a suspect.
 BOOST_AUTO_TEST_CASE(failedCallIsNotACrash)
 {
