Test the order of suspect facts

The tie-breaker between facts of equal knowledge had no test that fails without it: in the test with two crashing engines the first fact arrives before the second crash. A unit test now covers order, size, round trip and damaged text.

--- a/packages/agent/tests/engine_test.cpp
+++ b/packages/agent/tests/engine_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "agent_harness.h"
+#include "suspect_news.h"
 
 using namespace Carobhall;
 using namespace Carobhall::Testing;
@@ -197,7 +198,25 @@
     BOOST_TEST(third.engine->isAlive());
 }
 
-// Guards against two crashes at the same time whose facts know as much as each other, so that neither agent hears of the other.
+// Guards against two facts of one request that know as much as each other, of which membership would drop either, and against
+// a merged fact that loses to its parts.
+BOOST_AUTO_TEST_CASE(factsOfEqualKnowledgeAreOrdered)
+{
+    const SuspectFact one{ .fingerprint = 11, .firstEngine = 1 };
+    const SuspectFact other{ .fingerprint = 11, .firstEngine = 2 };
+    BOOST_TEST(factOf(one).value != factOf(other).value);
+    const SuspectFact both = mergeFacts(one, other);
+    BOOST_TEST(factOf(both).value > std::max(factOf(one).value, factOf(other).value));
+    BOOST_TEST(factOf(both).text.size() <= MaxFactText);
+    const auto back = suspectFrom(factOf(both));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(factOf(*back).text == factOf(both).text);
+    Fact damaged = factOf(one);
+    damaged.text.resize(3);
+    BOOST_TEST(!suspectFrom(damaged).has_value());
+}
+
+// Guards against crashes of one request at two engines that are not added up.
 BOOST_AUTO_TEST_CASE(simultaneousCrashesAddUp)
 {
     const std::vector<std::string> options{ "--crash-marker=BOOM", "--crash-after-tokens=2" };
