entry: route by membership, the routing library and the retry policy

Cause: the entry process kept a connection to every seed, probed all agents for each request and retried by rules of its own.

Change: agents come from membership; connections are dialled when a request needs one and closed when idle; agents that leave or are dead get no new work. Chooser puts the routing library behind probes: salts, prefix hashes, quotes, the four policies, and the suspicion of a request, taken as the worst of all replies and of membership's facts. RetryPolicy decides on retries, Reassembly orders answers. Requests that arrive before the document is confirmed wait for it for at most 1.5 s.

Ruled out: restricting a plan to one version for all requests while two versions are served, because the other servers would stay idle; the version is picked in proportion to the slots, and the hashes follow it.

--- a/packages/entry/include/carobhall/entry.h
+++ b/packages/entry/include/carobhall/entry.h
@@ -16,7 +16,7 @@
 
 struct EntryOptions {
     EntrySettings settings;
-    VersionedDocument document;
+    VersionedDocument document;      ///< Empty: the process waits for one from a peer or the platform.
     std::function<void()> onStopped; ///< A graceful shutdown is complete, or its deadline has passed.
 };
 
@@ -35,6 +35,7 @@
     /// Refuses new requests as not run, finishes the running ones, then calls onStopped. Repeated calls do nothing.
     void beginShutdown();
 
+    [[nodiscard]] std::uint16_t wirePort() const;
     [[nodiscard]] std::uint16_t callerPort() const;
     [[nodiscard]] std::uint16_t adminPort() const;
     [[nodiscard]] Incarnation incarnation() const;
--- a/packages/entry/src/agent_links.cpp
+++ b/packages/entry/src/agent_links.cpp
@@ -10,7 +10,7 @@
 
 constexpr Micros FirstBackoff = 50 * MicrosPerMilli;
 constexpr Micros MaxBackoff = 2 * MicrosPerSecond;
-/// An agent that has been silent this long is asked for a sign of life.
+/// A busy agent that has been silent this long is asked for a sign of life.
 constexpr Micros PingAfter = 500 * MicrosPerMilli;
 /// Its connection is given up when it does not answer within this time.
 constexpr Micros PingTimeout = 2 * MicrosPerSecond;
@@ -26,47 +26,33 @@
 
 AgentLinks::AgentLinks(Options options)
     : options_(std::move(options))
-    , endpoint_({
-          .keys = options_.keys,
-          .self = options_.self,
-          .onOpen = [this](ConnectionId connection, const PeerInfo &peer) { opened(connection, peer); },
-          .onMessage = [this](ConnectionId connection, Message message) { received(connection, std::move(message)); },
-          .onClosed = [this](ConnectionId connection, std::error_code) { closed(connection); },
-      })
 {
 }
 
-void AgentLinks::setAddresses(const std::vector<std::string> &addresses)
-{
-    std::map<std::string, std::unique_ptr<AgentLink>> previous = std::move(links_);
-    links_.clear();
-    for (const std::string &address : addresses) {
-        if (const auto kept = previous.find(address); kept != previous.end() && kept->second != nullptr) {
-            links_.emplace(address, std::move(kept->second));
-        } else if (!links_.contains(address)) {
-            auto link = std::make_unique<AgentLink>();
-            link->address = address;
-            dial(*links_.emplace(address, std::move(link)).first->second);
-        }
+void AgentLinks::setAgents(const std::vector<AgentInfo> &agents)
+{
+    for (const auto &[address, link] : links_) {
+        link->listed = false;
+        link->agent.usable = false;
     }
-    for (const auto &[address, link] : previous) {
-        if (link != nullptr) {
-            const ConnectionId connection = link->connection;
-            addresses_.erase(connection);
-            endpoint_.close(connection);
-            if (link->open) {
-                options_.onLost(*link, connection);
-                options_.onUnreachable(*link);
-            }
+    std::vector<std::string> replaced;
+    for (const AgentInfo &agent : agents) {
+        std::unique_ptr<AgentLink> &link = links_[agent.address];
+        if (link == nullptr) {
+            link = std::make_unique<AgentLink>();
         }
+        if (link->open && link->peer.incarnation != agent.incarnation && link->agent.incarnation != agent.incarnation) {
+            replaced.push_back(agent.address);
+        }
+        link->listed = true;
+        link->agent = agent;
+    }
+    for (const std::string &address : replaced) {
+        // The process at the other end of the connection is gone, and another one has its address.
+        AgentLink &link = *links_.at(address);
+        options_.endpoint.close(link.connection);
+        lose(link);
     }
-}
-
-void AgentLinks::dial(AgentLink &link)
-{
-    link.open = false;
-    link.connection = endpoint_.dial(link.address);
-    addresses_.emplace(link.connection, link.address);
 }
 
 const AgentLink *AgentLinks::find(const std::string &address) const
@@ -81,17 +67,37 @@
     return address == addresses_.end() ? nullptr : links_.at(address->second).get();
 }
 
+ConnectionId AgentLinks::connect(const std::string &address)
+{
+    const auto entry = links_.find(address);
+    if (entry == links_.end()) {
+        return 0;
+    }
+    AgentLink &link = *entry->second;
+    const Micros now = monotonicNow();
+    link.usedAt = now;
+    if (link.connection == 0 && now >= link.notBefore) {
+        link.connection = options_.endpoint.dial(address);
+        addresses_.emplace(link.connection, address);
+    }
+    return link.connection;
+}
+
 bool AgentLinks::send(ConnectionId connection, const Message &message)
 {
-    const AgentLink *const link = byConnection(connection);
-    return link != nullptr && link->open && endpoint_.send(connection, message);
+    AgentLink *const link = byConnection(connection);
+    if (link == nullptr) {
+        return false;
+    }
+    link->usedAt = monotonicNow();
+    return options_.endpoint.send(connection, message);
 }
 
-void AgentLinks::opened(ConnectionId connection, const PeerInfo &peer)
+bool AgentLinks::opened(ConnectionId connection, const PeerInfo &peer)
 {
     AgentLink *const link = byConnection(connection);
     if (link == nullptr) {
-        return;
+        return false;
     }
     link->open = true;
     link->peer = peer;
@@ -99,28 +105,32 @@
     link->pingedAt = 0;
     link->backoff = 0;
     logEvent(LogLevel::Info, "agent_connected",
-             { { "address", link->address }, { "agent", peer.name }, { "upstream", peer.upstream }, { "incarnation", toHex(peer.incarnation) } });
+             { { "address", link->agent.address }, { "agent", peer.name }, { "upstream", peer.upstream }, { "incarnation", toHex(peer.incarnation) } });
     options_.onOpen(*link);
+    return true;
 }
 
-void AgentLinks::received(ConnectionId connection, Message message)
+bool AgentLinks::received(ConnectionId connection, Message message)
 {
     AgentLink *const link = byConnection(connection);
     if (link == nullptr) {
-        return;
+        return false;
     }
     link->lastHeard = monotonicNow();
+    link->usedAt = link->lastHeard;
     link->pingedAt = 0;
     options_.onMessage(*link, std::move(message));
+    return true;
 }
 
-void AgentLinks::closed(ConnectionId connection)
+bool AgentLinks::closed(ConnectionId connection)
 {
     AgentLink *const link = byConnection(connection);
     if (link == nullptr) {
-        return;
+        return false;
     }
     lose(*link);
+    return true;
 }
 
 void AgentLinks::lose(AgentLink &link)
@@ -130,33 +140,74 @@
     addresses_.erase(connection);
     link.open = false;
     link.connection = 0;
+    link.pingedAt = 0;
+    const Micros now = monotonicNow();
     // The first dial after a loss is immediate: the agent may be well, and requests wait for it.
-    const Micros delay = wasOpen ? 0 : withJitter(std::max(link.backoff, FirstBackoff));
+    link.notBefore = wasOpen ? now : now + withJitter(std::max(link.backoff, FirstBackoff));
     link.backoff = wasOpen ? FirstBackoff : std::min(std::max(link.backoff, FirstBackoff) * 2, MaxBackoff);
-    link.redial.startOnce(delay, [this, &link] { dial(link); });
     if (wasOpen) {
-        logEvent(LogLevel::Warning, "agent_lost", { { "address", link.address }, { "agent", link.peer.name } });
+        logEvent(LogLevel::Info, "agent_connection_ended", { { "address", link.agent.address }, { "agent", link.peer.name } });
         options_.onLost(link, connection);
     } else {
-        options_.onUnreachable(link);
+        options_.onUnreachable(link, connection);
+    }
+}
+
+void AgentLinks::drop(const std::string &address)
+{
+    const auto entry = links_.find(address);
+    const std::unique_ptr<AgentLink> link = std::move(entry->second);
+    links_.erase(entry);
+    const ConnectionId connection = link->connection;
+    if (connection == 0) {
+        options_.onUnreachable(*link, connection);
+        return;
+    }
+    addresses_.erase(connection);
+    options_.endpoint.close(connection);
+    if (link->open) {
+        link->open = false;
+        options_.onLost(*link, connection);
+    }
+    options_.onUnreachable(*link, connection);
+}
+
+void AgentLinks::checkSilence(AgentLink &link, Micros now)
+{
+    if (link.pingedAt != 0) {
+        if (link.pingedAt + PingTimeout < now) {
+            // close() waits for queued bytes, which a frozen agent never takes; its connection is forgotten either way.
+            options_.endpoint.close(link.connection);
+            lose(link);
+        }
+        return;
+    }
+    if (link.checkedAt + PingAfter > now) {
+        return;
+    }
+    link.checkedAt = now;
+    if (options_.isBusy(link)) {
+        link.pingedAt = now;
+        options_.endpoint.send(link.connection, Probe{});
+    } else if (link.usedAt + options_.idleLimit < now) {
+        options_.endpoint.close(link.connection);
     }
 }
 
 void AgentLinks::tick(Micros now)
 {
+    std::vector<std::string> gone;
     for (const auto &[address, link] : links_) {
-        if (!link->open || link->lastHeard + PingAfter > now) {
-            continue;
-        }
-        if (link->pingedAt == 0) {
-            link->pingedAt = now;
-            endpoint_.send(link->connection, Probe{});
-        } else if (link->pingedAt + PingTimeout < now) {
-            // close() waits for queued bytes, which a frozen agent never takes; its connection is forgotten either way.
-            endpoint_.close(link->connection);
-            lose(*link);
+        const bool silent = !link->open || link->lastHeard + PingAfter < now;
+        if (!link->listed && silent) {
+            gone.push_back(address);
+        } else if (link->open && silent) {
+            checkSilence(*link, now);
         }
     }
+    for (const std::string &address : gone) {
+        drop(address);
+    }
 }
 
 Json::Value AgentLinks::dump() const
@@ -166,9 +217,10 @@
         Json::Value row(Json::objectValue);
         row["address"] = address;
         row["open"] = link->open;
-        row["agent"] = link->peer.name;
-        row["upstream"] = link->peer.upstream;
-        row["incarnation"] = toHex(link->peer.incarnation);
+        row["usable"] = link->agent.usable;
+        row["agent"] = link->agent.name;
+        row["upstream"] = link->agent.upstream;
+        row["incarnation"] = toHex(link->agent.incarnation);
         rows.append(row);
     }
     return rows;
--- a/packages/entry/src/caller_request.cpp
+++ b/packages/entry/src/caller_request.cpp
@@ -54,6 +54,20 @@
     return std::nullopt;
 }
 
+/// The text whose pieces the engine caches: the prompt, or the messages one after the other.
+std::string promptOf(const Json::Value &json, RequestKind kind)
+{
+    if (kind == RequestKind::Completion) {
+        return json["prompt"].asString();
+    }
+    std::string prompt;
+    for (const Json::Value &message : json["messages"]) {
+        const Json::Value &content = message["content"];
+        prompt += message["role"].asString() + '\n' + (content.isString() ? content.asString() : writeJson(content)) + '\n';
+    }
+    return prompt;
+}
+
 Checked checkModelRequest(CallerRequest request, const EnvironmentDocument &document)
 {
     const auto json = parseJson(request.body);
@@ -83,6 +97,7 @@
     if (!servesModel(document, request.route)) {
         return notFound("there is no model \"" + request.route + "\"");
     }
+    request.prompt = promptOf(*json, request.kind);
     request.repeatable = true;
     request.contentType = "application/json";
     return request;
--- a/packages/entry/src/caller_request.h
+++ b/packages/entry/src/caller_request.h
@@ -21,6 +21,7 @@
     std::string path; ///< With the query, as the caller sent it.
     std::string contentType;
     std::string body;
+    std::string prompt;          ///< Of a model: what the engine computes, in the engine's own form.
     bool stream = false;         ///< The caller asked for server-sent events.
     std::uint32_t maxTokens = 0; ///< 0: the engine's default.
     Micros arrivedAt = 0;
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -12,11 +12,9 @@
 namespace
 {
 
-constexpr std::uint32_t MaxAttempts = 5;
 /// How long a request waits for any agent to be reachable, for example just after this process has started.
 constexpr Micros NoAgentPatience = MicrosPerSecond;
 constexpr Micros NoAgentDelay = 20 * MicrosPerMilli;
-constexpr Micros RetryDelay = 50 * MicrosPerMilli;
 /// A broken connection is waited for this long; agents keep output longer (AgentSettings::resumeWindow).
 constexpr Micros ResumeLimit = 2 * MicrosPerSecond;
 /// An agent refuses at the deadline by itself; one that does not is given up after this further time.
@@ -41,6 +39,7 @@
 
 Dispatcher::Dispatcher(DispatcherOptions options)
     : options_(options)
+    , retries_(options.retries, options.incarnation)
 {
 }
 
@@ -48,12 +47,14 @@
 {
     Request &request = table_.add(std::move(call));
     request.attempt = { .entry = options_.incarnation, .number = request.number, .attempt = 0 };
+    request.answer = Reassembly({ .unit = request.call.isModel() ? AnswerUnit::Pieces : AnswerUnit::Bytes });
     return request;
 }
 
 void Dispatcher::start(Request &request)
 {
     request.reply->onTaken([this, number = request.number](std::uint64_t cost) { taken(number, cost); });
+    retries_.noteRequest(request.call.account);
     choose(request);
 }
 
@@ -62,15 +63,20 @@
     request.phase = RequestPhase::Choosing;
     const ChooseAsk ask{ .request = request.call, .weightsVersion = request.pinnedVersion, .avoid = request.avoid };
     options_.chooser.choose(
-        ask, [this, number = request.number, attempt = request.attempt.attempt](std::optional<Choice> choice) { chosen(number, attempt, std::move(choice)); });
+        ask, [this, number = request.number, attempt = request.attempt.attempt](ChooseResult result) { chosen(number, attempt, std::move(result)); });
 }
 
-void Dispatcher::chosen(std::uint64_t number, std::uint32_t attempt, std::optional<Choice> choice)
+void Dispatcher::chosen(std::uint64_t number, std::uint32_t attempt, ChooseResult result)
 {
     Request *const request = table_.find(number);
     if (request == nullptr || request->phase != RequestPhase::Choosing || request->attempt.attempt != attempt) {
         return;
     }
+    if (result.error) {
+        fail(*request, { .error = result.error, .verdict = Verdict::NotRun, .message = "the request has crashed upstreams" });
+        return;
+    }
+    auto &choice = result.choice;
     if (!choice) {
         noCandidate(*request);
         return;
@@ -81,6 +87,7 @@
     }
     request->agent = std::move(*choice);
     ++request->attempt.attempt;
+    request->answer.beginAttempt(request->attempt.attempt);
     submit(*request);
 }
 
@@ -117,14 +124,18 @@
     submit.repeatable = request.call.repeatable;
     submit.idempotencyKey = request.call.idempotencyKey;
     submit.route = request.call.route;
-    submit.weightsVersion = request.pinnedVersion;
+    submit.weightsVersion = request.agent.prompt->weightsVersion;
+    submit.salt = request.agent.prompt->salt.seed;
+    submit.fingerprint = request.agent.prompt->fingerprint;
+    submit.promptPieces = static_cast<std::uint32_t>(request.agent.prompt->hashes.size());
+    submit.alone = request.agent.alone;
     submit.method = request.call.method;
     submit.path = request.call.path;
     submit.contentType = request.call.contentType;
     submit.body = request.call.body;
     submit.maxTokens = request.call.maxTokens;
     submit.timeout = std::max<Micros>(request.call.startBy - monotonicNow(), 0);
-    submit.resumeOffset = request.offset;
+    submit.resumeOffset = request.answer.nextOffset();
     submit.resumeText = request.text;
     submit.window = window;
     submit.creditTotal = window > pending ? window - pending : 0;
@@ -135,8 +146,11 @@
 
 void Dispatcher::submit(Request &request)
 {
+    request.submittedAt = monotonicNow();
+    request.counted = true;
+    options_.chooser.dispatched(request.agent, request.submittedAt);
     const AgentLink *const link = options_.links.find(request.agent.address);
-    if (link == nullptr || !link->open || link->connection != request.agent.connection) {
+    if (link == nullptr || link->connection == 0 || link->connection != request.agent.connection) {
         // The message did not leave this process.
         attemptFailed(request, { .error = Errc::ConnectionLost, .verdict = Verdict::NotRun, .message = "the connection to the agent is closed" });
         return;
@@ -196,7 +210,7 @@
 
 void Dispatcher::began(Request &request, Head head)
 {
-    if (request.offset > 0 && head.status >= FirstErrorStatus) {
+    if (request.answer.nextOffset() > 0 && head.status >= FirstErrorStatus) {
         release(request);
         attemptFailed(request, { .error = Errc::StreamBroken, .verdict = Verdict::MayHaveRun, .message = "the stream was not continued" });
         return;
@@ -206,36 +220,34 @@
 
 void Dispatcher::arrived(Request &request, Chunk chunk)
 {
-    const bool countsTokens = request.call.isModel();
-    std::vector<std::string> fresh;
-    std::uint64_t at = chunk.offset;
-    for (std::string &piece : chunk.pieces) {
-        const std::uint64_t length = countsTokens ? 1 : piece.size();
-        if (at > request.offset || (at < request.offset && at + length > request.offset)) {
-            break;
-        }
-        if (at == request.offset) {
-            request.offset += length;
-            if (countsTokens && request.text.size() <= MaxKeptText) {
-                request.text += piece;
-            }
-            fresh.push_back(std::move(piece));
-        }
-        at += length;
+    const ChunkFate fate = request.answer.accept(chunk.key.attempt, chunk.offset, std::move(chunk.pieces));
+    if (fate == ChunkFate::Duplicate) {
+        return;
     }
-    if (at > request.offset || !request.head) {
+    // One connection delivers in order, so that a gap means that something is lost.
+    if (fate != ChunkFate::Ready || !request.head) {
         release(request);
         attemptFailed(request, { .error = Errc::StreamBroken, .verdict = Verdict::MayHaveRun, .message = "a part of the answer is missing" });
         return;
     }
+    std::vector<std::string> fresh = request.answer.takeReady();
     if (fresh.empty()) {
         return;
     }
+    if (request.call.isModel()) {
+        for (const std::string &piece : fresh) {
+            if (request.text.size() <= MaxKeptText) {
+                request.text += piece;
+            }
+        }
+    }
     // Another version of the weights would continue the text differently.
     request.pinnedVersion = request.agent.weightsVersion;
     const Micros now = monotonicNow();
     if (request.firstPieceAt == 0) {
         request.firstPieceAt = now;
+        options_.chooser.firstToken(request.agent, now - request.submittedAt, now);
+        retries_.noteFirstToken(now - request.submittedAt);
         options_.metrics.observe("carobhall_entry_first_token_seconds", rankLabel(request), now - request.call.arrivedAt);
     } else {
         options_.metrics.observe("carobhall_entry_between_tokens_seconds", rankLabel(request), now - request.lastPieceAt);
@@ -272,7 +284,7 @@
 {
     release(request);
     request.verdict = combine(request.verdict, verdictFrom(message.verdict));
-    if (message.complete && message.finalOffset == request.offset && request.head) {
+    if (message.complete && request.head && request.answer.end(request.attempt.attempt, message.finalOffset) && request.answer.complete()) {
         succeed(request, message);
         return;
     }
@@ -294,25 +306,35 @@
 
 // 3. Failures -------------------------------------------------------------------------------------
 
-bool Dispatcher::mayRetry(const Request &request, const Failure &failure) const
+RetryDecision Dispatcher::decide(const Request &request, const Failure &failure)
 {
-    const std::error_code error = failure.error;
-    if (error == Errc::Conflict || error == Errc::KeyExpired || error == Errc::Condemned || error == Errc::PlatformUnavailable) {
-        return false;
-    }
-    if (request.attempt.attempt >= MaxAttempts) {
-        return false;
-    }
-    if (failure.verdict == Verdict::NotRun) {
-        return true;
-    }
+    const bool hasBegun = request.answer.nextOffset() > 0;
     // Another run of a plain service may give other bytes, so an answer that has begun is not continued.
-    const bool canContinue = request.call.isModel() ? request.text.size() <= MaxKeptText : request.offset == 0;
-    return request.call.repeatable && canContinue;
+    const bool canContinue = request.call.isModel() ? request.text.size() <= MaxKeptText : !hasBegun;
+    const auto error = failure.error.category() == errorCategory() ? static_cast<Errc>(failure.error.value()) : Errc::UpstreamFailed;
+    return retries_.decide({
+        .account = request.call.account,
+        .verdict = failure.verdict,
+        .error = error,
+        .repeatable = request.call.repeatable && canContinue,
+        .attempts = request.attempt.attempt - request.redirects,
+        .redirects = request.redirects,
+        // The deadline is about the start: an answer that has begun may be continued after it.
+        .remaining = hasBegun ? DeadlineGrace : request.call.startBy - monotonicNow(),
+    });
+}
+
+void Dispatcher::uncount(Request &request)
+{
+    if (request.counted) {
+        request.counted = false;
+        options_.chooser.ended(request.agent, monotonicNow());
+    }
 }
 
 void Dispatcher::attemptFailed(Request &request, Failure failure)
 {
+    uncount(request);
     request.verdict = combine(request.verdict, failure.verdict);
     options_.metrics.count("carobhall_entry_attempts_failed_total", "error=\"" + failure.error.message() + "\"");
     logEvent(LogLevel::Info, "attempt_failed",
@@ -320,22 +342,26 @@
                { "upstream", request.agent.upstreamName },
                { "verdict", failure.verdict },
                { "error", failure.error },
-               { "offset", request.offset },
+               { "offset", request.answer.nextOffset() },
                { "message", failure.message } });
-    if (!mayRetry(request, failure)) {
+    const RetryDecision decision = decide(request, failure);
+    options_.metrics.count("carobhall_entry_retry_decisions_total", "reason=\"" + std::string(nameOf(decision.reason)) + "\"");
+    if (!decision.retry) {
         fail(request, std::move(failure));
         return;
     }
+    if (decision.reason == RetryReason::Redirect) {
+        ++request.redirects;
+    }
     // An upstream that started anew is as good as any; one that failed or refused is not tried first.
     if (failure.error != Errc::IncarnationMismatch) {
         request.avoid.insert(request.agent.address);
     }
-    if (request.offset == 0) {
+    if (request.answer.nextOffset() == 0) {
         request.head.reset();
     }
-    const bool wasAvoided = request.agent.avoided;
     request.lastFailure = std::move(failure);
-    backOff(request, wasAvoided ? RetryDelay << request.attempt.attempt : 0);
+    backOff(request, decision.delay);
 }
 
 // 4. Ending ---------------------------------------------------------------------------------------
@@ -349,6 +375,7 @@
 
 void Dispatcher::succeed(Request &request, const End &message)
 {
+    uncount(request);
     request.phase = RequestPhase::Ended;
     logEnd(request, request.verdict, {});
     request.reply->finish(*request.head, message.finishReason);
@@ -356,6 +383,7 @@
 
 void Dispatcher::fail(Request &request, Failure failure)
 {
+    uncount(request);
     request.phase = RequestPhase::Ended;
     failure.verdict = request.verdict;
     if (failure.message.empty()) {
@@ -379,7 +407,7 @@
                { "attempts", request.attempt.attempt },
                { "verdict", verdict },
                { "error", errorName },
-               { "offset", request.offset },
+               { "offset", request.answer.nextOffset() },
                { "first_token_us", request.firstPieceAt == 0 ? -1 : request.firstPieceAt - request.call.arrivedAt },
                { "total_us", now - request.call.arrivedAt } });
 }
@@ -397,6 +425,7 @@
         }
         logEnd(*request, request->verdict, Errc::Cancelled);
     }
+    uncount(*request);
     table_.remove(number);
 }
 
@@ -408,6 +437,7 @@
         if (request.phase == RequestPhase::Submitted && request.agent.connection == connection) {
             request.phase = RequestPhase::Reconnecting;
             request.lostAt = now;
+            options_.links.connect(request.agent.address);
         }
     });
 }
@@ -415,7 +445,7 @@
 void Dispatcher::linkOpened(const AgentLink &link)
 {
     table_.each([&](Request &request) {
-        if (request.phase != RequestPhase::Reconnecting || request.agent.address != link.address) {
+        if (request.phase != RequestPhase::Reconnecting || request.agent.address != link.agent.address) {
             return;
         }
         if (request.agent.agent != link.peer.incarnation) {
@@ -429,21 +459,37 @@
     });
 }
 
-void Dispatcher::linkUnreachable(const AgentLink &link)
+void Dispatcher::linkUnreachable(const AgentLink &link, ConnectionId connection)
 {
+    options_.chooser.lost(connection);
     table_.each([&](Request &request) {
-        // What can run elsewhere does not wait; a call that cannot waits for its answer as long as it may come.
-        if (request.phase == RequestPhase::Reconnecting && request.agent.address == link.address && request.call.repeatable) {
+        if (request.phase == RequestPhase::Submitted && request.agent.connection == connection) {
+            // The connection never opened, so that the message did not leave this process.
+            attemptFailed(request, { .error = Errc::ConnectionLost, .verdict = Verdict::NotRun, .message = "the agent is unreachable" });
+        } else if (request.phase == RequestPhase::Reconnecting && request.agent.address == link.agent.address && request.call.repeatable) {
+            // What can run elsewhere does not wait; a call that cannot waits for its answer as long as it may come.
             attemptFailed(request, { .error = Errc::ConnectionLost, .verdict = Verdict::MayHaveRun, .message = "the agent is unreachable" });
         }
     });
 }
 
+bool Dispatcher::expectsFrom(const AgentLink &link)
+{
+    bool expects = false;
+    table_.each([&](const Request &request) {
+        const bool waits = request.phase == RequestPhase::Submitted || request.phase == RequestPhase::Reconnecting;
+        expects = expects || (waits && request.agent.address == link.agent.address);
+    });
+    return expects;
+}
+
 void Dispatcher::tick(Micros now)
 {
     table_.each([&](Request &request) {
         if (request.phase == RequestPhase::Reconnecting && request.lostAt + ResumeLimit < now) {
             attemptFailed(request, { .error = Errc::ConnectionLost, .verdict = Verdict::MayHaveRun, .message = "the connection to the agent is lost" });
+        } else if (request.phase == RequestPhase::Reconnecting) {
+            options_.links.connect(request.agent.address);
         } else if (request.phase == RequestPhase::Submitted && !request.head && request.call.startBy + DeadlineGrace < now) {
             release(request);
             request.verdict = combine(request.verdict, Verdict::MayHaveRun);
@@ -483,7 +529,7 @@
         row["phase"] = std::string(nameOf(request.phase));
         row["upstream"] = request.agent.upstreamName;
         row["verdict"] = std::string(nameOf(request.verdict));
-        row["offset"] = Json::UInt64(request.offset);
+        row["offset"] = Json::UInt64(request.answer.nextOffset());
         row["pending_cost"] = Json::UInt64(request.reply == nullptr ? 0 : request.reply->pendingCost());
         rows.append(row);
     });
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -3,6 +3,7 @@
 // Takes each request through its attempts: chooses an agent, submits, passes the answer on, and decides by the verdict
 // whether a failed attempt is followed by another.
 
+#include "carobhall/retries.h"
 #include "request_table.h"
 
 namespace Carobhall
@@ -15,6 +16,7 @@
     AgentLinks &links;
     Chooser &chooser;
     Metrics &metrics;
+    RetryOptions retries{};
 };
 
 class Dispatcher
@@ -31,7 +33,9 @@
     void received(const AgentLink &link, Message message);
     void linkOpened(const AgentLink &link);
     void linkLost(ConnectionId connection);
-    void linkUnreachable(const AgentLink &link);
+    void linkUnreachable(const AgentLink &link, ConnectionId connection);
+    /// Whether an answer is expected from the agent.
+    [[nodiscard]] bool expectsFrom(const AgentLink &link);
     /// Ends what is overdue. Call it every few tens of milliseconds.
     void tick(Micros now);
     /// The deadline of the shutdown has passed.
@@ -42,7 +46,7 @@
 
 private:
     void choose(Request &request);
-    void chosen(std::uint64_t number, std::uint32_t attempt, std::optional<Choice> choice);
+    void chosen(std::uint64_t number, std::uint32_t attempt, ChooseResult result);
     void noCandidate(Request &request);
     void backOff(Request &request, Micros delay);
     void submit(Request &request);
@@ -55,7 +59,8 @@
     void ended(Request &request, const End &message);
     void taken(std::uint64_t number, std::uint64_t cost);
     void attemptFailed(Request &request, Failure failure);
-    [[nodiscard]] bool mayRetry(const Request &request, const Failure &failure) const;
+    [[nodiscard]] RetryDecision decide(const Request &request, const Failure &failure);
+    void uncount(Request &request);
     void succeed(Request &request, const End &message);
     void fail(Request &request, Failure failure);
     void release(Request &request);
@@ -63,6 +68,7 @@
 
     DispatcherOptions options_;
     RequestTable table_;
+    RetryPolicy retries_;
 };
 
 } // namespace Carobhall
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -1,4 +1,5 @@
 #include "carobhall/entry.h"
+#include "carobhall/fleet.h"
 #include "http_front.h"
 
 namespace Carobhall
@@ -9,11 +10,21 @@
 
 constexpr Micros TickInterval = 20 * MicrosPerMilli;
 
+/// The policy of a settings file; "rendezvous" stands for the one with bounded load.
+std::optional<PolicyKind> policyNamed(std::string_view name)
+{
+    return name == "rendezvous" ? PolicyKind::BoundedRendezvous : fromName<PolicyKind>(name);
+}
+
 } // namespace
 
 struct Entry::Impl {
     explicit Impl(EntryOptions entryOptions);
 
+    void opened(ConnectionId connection, const PeerInfo &peer);
+    void received(ConnectionId connection, Message message);
+    void closed(ConnectionId connection);
+    void refreshAgents();
     void tick();
     [[nodiscard]] Json::Value dump();
 
@@ -21,8 +32,10 @@
     Incarnation incarnation = drawIncarnation();
     Metrics metrics;
     DocumentHolder document;
+    Endpoint endpoint;
+    Fleet fleet;
     AgentLinks links;
-    ProbeAllChooser chooser;
+    Chooser chooser;
     Dispatcher dispatcher;
     HttpFront front;
     AdminListener admin;
@@ -35,33 +48,114 @@
 Entry::Impl::Impl(EntryOptions entryOptions)
     : options(std::move(entryOptions))
     , document(options.document)
-    , links({
+    , endpoint({
           .keys = fleetKeysFrom(options.settings.process.fleetKeys).value_or(FleetKeys{}),
           .self = { .name = options.settings.process.name,
                     .zone = options.settings.process.zone,
                     .incarnation = incarnation,
                     .kind = static_cast<std::uint8_t>(ProcessKind::Entry),
                     .upstream = {} },
+          .onOpen = [this](ConnectionId connection, const PeerInfo &peer) { opened(connection, peer); },
+          .onMessage = [this](ConnectionId connection, Message message) { received(connection, std::move(message)); },
+          .onClosed = [this](ConnectionId connection, std::error_code) { closed(connection); },
+      })
+    , fleet({
+          .process = options.settings.process,
+          .kind = ProcessKind::Entry,
+          .incarnation = incarnation,
+          .upstream = {},
+          .endpoint = endpoint,
+          .document = document,
+          .onMembers = [this] { refreshAgents(); },
+          .onFact = {},
+      })
+    , links({
+          .endpoint = endpoint,
           .onOpen = [this](const AgentLink &link) { dispatcher.linkOpened(link); },
           .onLost = [this](const AgentLink &, ConnectionId connection) { dispatcher.linkLost(connection); },
-          .onUnreachable = [this](const AgentLink &link) { dispatcher.linkUnreachable(link); },
+          .onUnreachable =
+              [this](const AgentLink &link, ConnectionId connection) {
+                  fleet.reportFailure(link.agent.incarnation);
+                  dispatcher.linkUnreachable(link, connection);
+              },
           .onMessage = [this](const AgentLink &link, Message message) { dispatcher.received(link, std::move(message)); },
+          .isBusy = [this](const AgentLink &link) { return dispatcher.expectsFrom(link); },
+      })
+    , chooser({
+          .links = links,
+          .policy = policyNamed(options.settings.policy).value_or(PolicyKind::Probe),
+          .seed = incarnation,
+          .probeTimeout = options.settings.probeTimeout,
+          .suspicion = [this](std::uint64_t fingerprint) { return fleet.suspicion(fingerprint); },
+          .onNoAnswer = [this](const AgentLink &link) { fleet.reportFailure(link.agent.incarnation); },
+          .onVersion = [this](const AgentLink &link, std::uint64_t version) { fleet.noteVersion(link.peer.name, version); },
       })
-    , chooser(links, document, options.settings.probeTimeout)
     , dispatcher({ .settings = options.settings, .incarnation = incarnation, .links = links, .chooser = chooser, .metrics = metrics })
-    , front({ .settings = options.settings, .document = document, .dispatcher = dispatcher, .metrics = metrics })
+    , front(
+          { .settings = options.settings, .document = document, .dispatcher = dispatcher, .metrics = metrics, .mayServe = [this] { return fleet.mayServe(); } })
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
           .dump = [this] { return dump(); },
-          .ready = [this] { return !leaving; },
+          .ready = [this] { return !leaving && fleet.mayServe(); },
       })
 {
 }
 
+void Entry::Impl::opened(ConnectionId connection, const PeerInfo &peer)
+{
+    fleet.opened(connection, peer);
+    links.opened(connection, peer);
+}
+
+void Entry::Impl::received(ConnectionId connection, Message message)
+{
+    if (fleet.received(connection, message)) {
+        return;
+    }
+    if (const auto *const ask = std::get_if<DumpAsk>(&message)) {
+        Dump reply;
+        reply.id = ask->id;
+        reply.json = writeJson(dump());
+        endpoint.send(connection, reply);
+    } else if (!links.received(connection, std::move(message))) {
+        metrics.count("carobhall_entry_unexpected_messages_total");
+    }
+}
+
+void Entry::Impl::closed(ConnectionId connection)
+{
+    fleet.closed(connection);
+    links.closed(connection);
+}
+
+void Entry::Impl::refreshAgents()
+{
+    std::vector<AgentInfo> agents;
+    for (const Member &member : fleet.members()) {
+        const MemberInfo &info = member.info;
+        if (static_cast<ProcessKind>(info.kind) != ProcessKind::Agent || member.state == MemberState::Dead) {
+            continue;
+        }
+        agents.push_back({
+            .address = info.address,
+            .name = info.name,
+            .zone = info.zone,
+            .incarnation = info.incarnation,
+            .upstream = info.upstream,
+            .route = info.route,
+            .weightsVersion = info.weightsVersion,
+            .usable = member.usable() && static_cast<UpstreamState>(info.upstreamState) == UpstreamState::Accepting,
+        });
+    }
+    links.setAgents(agents);
+    chooser.setAgents(agents, document.current()->document, options.settings.process.zone);
+}
+
 void Entry::Impl::tick()
 {
     const Micros now = monotonicNow();
     links.tick(now);
+    front.tick(now);
     dispatcher.tick(now);
     if (!leaving || stopped) {
         return;
@@ -86,6 +180,7 @@
     state["config_version"] = Json::UInt64(document.current()->version);
     state["config_digest"] = document.current()->digest;
     state["open_requests"] = Json::UInt64(front.openRequests());
+    state["fleet"] = fleet.dump();
     state["agents"] = links.dump();
     state["requests"] = dispatcher.dump();
     return state;
@@ -107,7 +202,16 @@
     if (const std::error_code error = impl_->admin.listen(process.adminAddress)) {
         return error;
     }
-    impl_->links.setAddresses(process.seeds);
+    if (!policyNamed(impl_->options.settings.policy)) {
+        return Errc::InvalidSettings;
+    }
+    if (const std::error_code error = impl_->endpoint.listen(process.wireAddress)) {
+        return error;
+    }
+    if (const std::error_code error = impl_->fleet.start()) {
+        return error;
+    }
+    impl_->document.onReplaced([this](const VersionedDocument &) { impl_->refreshAgents(); });
     impl_->tickTimer.startRepeating(TickInterval, [this] { impl_->tick(); });
     logEvent(LogLevel::Info, "started", { { "incarnation", toHex(impl_->incarnation) }, { "caller_port", callerPort() }, { "admin_port", adminPort() } });
     return {};
@@ -122,6 +226,12 @@
     impl_->leaving = true;
     impl_->stopBy = monotonicNow() + impl_->options.settings.process.shutdownDeadline;
     impl_->front.beginLeaving();
+    impl_->fleet.beginLeaving();
+}
+
+std::uint16_t Entry::wirePort() const
+{
+    return impl_->endpoint.port();
 }
 
 std::uint16_t Entry::callerPort() const
--- a/packages/entry/src/http_front.cpp
+++ b/packages/entry/src/http_front.cpp
@@ -8,6 +8,9 @@
 
 constexpr const char *IntakeKey = "carobhall-intake";
 constexpr std::string_view BearerPrefix = "Bearer ";
+/// A process that has a document confirms it within 100 ms of its start and within 1 s of a pause.
+constexpr Micros DocumentPatience = 1500 * MicrosPerMilli;
+constexpr std::size_t MaxWaiting = 1024;
 
 std::string headerOf(SoupServerMessage *message, const char *name)
 {
@@ -121,6 +124,9 @@
 {
     auto &intake = *static_cast<Intake *>(data);
     intake.timeout.stop();
+    if (intake.waitUntil != 0) {
+        intake.front->waiting_.remove(&intake);
+    }
     if (intake.open) {
         intake.open = false;
         --intake.front->openRequests_;
@@ -134,7 +140,8 @@
 {
     if (auto *const intake = static_cast<Intake *>(g_object_get_data(G_OBJECT(message), IntakeKey)); intake != nullptr) {
         intake->timeout.stop();
-        static_cast<HttpFront *>(self)->handle(*intake, path);
+        intake->path = path;
+        static_cast<HttpFront *>(self)->handle(*intake);
     }
 }
 
@@ -155,14 +162,46 @@
     answerFailure(intake.message, failure);
 }
 
-void HttpFront::handle(Intake &intake, const char *path)
+void HttpFront::wait(Intake &intake)
 {
+    if (waiting_.size() >= MaxWaiting) {
+        refuse(intake, { .error = Errc::Overloaded, .message = "this entry process has no confirmed document yet" });
+        return;
+    }
+    intake.waitUntil = monotonicNow() + DocumentPatience;
+    waiting_.push_back(&intake);
+    soup_server_message_pause(intake.message);
+}
+
+void HttpFront::tick(Micros now)
+{
+    const bool ready = options_.mayServe();
+    while (!waiting_.empty() && (ready || waiting_.front()->waitUntil <= now)) {
+        Intake &intake = *waiting_.front();
+        waiting_.pop_front();
+        intake.waitUntil = 0;
+        soup_server_message_unpause(intake.message);
+        if (ready) {
+            handle(intake);
+        } else {
+            refuse(intake, { .error = Errc::NoUpstream, .message = "this entry process has no confirmed document yet" });
+        }
+    }
+}
+
+void HttpFront::handle(Intake &intake)
+{
+    const std::string &path = intake.path;
     SoupServerMessage *const message = intake.message;
     if (leaving_) {
         soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
         refuse(intake, { .error = Errc::Leaving, .message = "this entry process is shutting down" });
         return;
     }
+    if (!options_.mayServe()) {
+        wait(intake);
+        return;
+    }
     const AccountSpec *const account = accountOf(message);
     if (account == nullptr) {
         refuse(intake, { .error = Errc::AuthenticationFailed, .message = "the bearer key is missing or unknown" });
@@ -174,7 +213,7 @@
     }
     const auto document = options_.document.current();
     const std::string method = textOrEmpty(soup_server_message_get_method(message));
-    if (method == "GET" && std::string_view(path) == "/v1/models") {
+    if (method == "GET" && path == "/v1/models") {
         const std::string list = modelList(document->document);
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
         soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, list.data(), list.size());
--- a/packages/entry/src/http_front.h
+++ b/packages/entry/src/http_front.h
@@ -4,6 +4,8 @@
 
 #include "dispatcher.h"
 
+#include <list>
+
 namespace Carobhall
 {
 
@@ -13,6 +15,7 @@
     DocumentHolder &document;
     Dispatcher &dispatcher;
     Metrics &metrics;
+    std::function<bool()> mayServe; ///< False: the document is not there or not confirmed after a pause. Requests wait a short time.
 };
 
 class HttpFront
@@ -27,6 +30,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /// Refuses further requests as not run.
     void beginLeaving();
+    /// Takes up the requests that wait for the document. Call it every few tens of milliseconds.
+    void tick(Micros now);
     /// Requests whose response has not been written in full.
     [[nodiscard]] std::size_t openRequests() const;
 
@@ -41,6 +46,8 @@
         std::uint64_t number = 0; ///< In the request table; 0: not there.
         Micros arrivedAt = 0;
         Timer timeout; ///< Until the request has arrived whole.
+        std::string path;
+        Micros waitUntil = 0; ///< For the document; 0: does not wait.
     };
 
     static void onStarted(SoupServer *server, SoupServerMessage *message, gpointer self);
@@ -50,7 +57,8 @@
     static void onRequest(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer self);
 
     void checkHeaders(Intake &intake);
-    void handle(Intake &intake, const char *path);
+    void handle(Intake &intake);
+    void wait(Intake &intake);
     void refuse(const Intake &intake, const Failure &failure);
     [[nodiscard]] const AccountSpec *accountOf(SoupServerMessage *message) const;
 
@@ -59,6 +67,7 @@
     std::unique_ptr<AccountTable> accounts_;
     std::uint16_t port_ = 0;
     std::size_t openRequests_ = 0;
+    std::list<Intake *> waiting_; ///< In the order of arrival.
     bool leaving_ = false;
 };
 
--- a/packages/entry/src/request_table.h
+++ b/packages/entry/src/request_table.h
@@ -2,6 +2,7 @@
 
 // The requests in work, each with its current attempt.
 
+#include "carobhall/reassembly.h"
 #include "chooser.h"
 #include "reply_writer.h"
 
@@ -35,17 +36,20 @@
 
     // The current attempt.
     AttemptId attempt;
-    Choice agent;
+    AgentChoice agent;
+    bool counted = false;            ///< The chooser counts the attempt as in flight.
+    Micros submittedAt = 0;          ///< Of the current attempt.
     Micros lostAt = 0;               ///< The connection broke.
     std::uint64_t creditBase = 0;    ///< Cost received from earlier attempts, where this one's credit began.
     std::uint64_t creditGranted = 0; ///< Last total told to the agent.
 
     // The request over all attempts.
     Verdict verdict = Verdict::NotRun;
+    std::uint32_t redirects = 0; ///< Attempts that were sent elsewhere without upstream work.
+    Reassembly answer;
     std::set<std::string> avoid;
     std::optional<Head> head;
     std::string pinnedVersion; ///< Weights version of the answer so far.
-    std::uint64_t offset = 0;  ///< Tokens or bytes received in order.
     std::string text;          ///< Of the tokens received, to continue elsewhere.
     std::uint64_t takenCost = 0;
     Micros firstPieceAt = 0;
--- a/packages/runtime/include/carobhall/runtime.h
+++ b/packages/runtime/include/carobhall/runtime.h
@@ -174,6 +174,9 @@
 /// The role of the model server or plain server \p name, or nothing when the document has none. Thread-safe.
 [[nodiscard]] std::optional<UpstreamRole> findUpstream(const EnvironmentDocument &document, std::string_view name);
 
+/// The region of an availability zone; empty for a zone that the document does not have. Thread-safe.
+[[nodiscard]] std::string regionOf(const EnvironmentDocument &document, std::string_view zone);
+
 // 5. Fleet keys -----------------------------------------------------------------------------------
 
 /// The keys in \p settings, or nothing when there is none or one is not 64 hexadecimal digits. Thread-safe.
--- a/packages/runtime/src/document_holder.cpp
+++ b/packages/runtime/src/document_holder.cpp
@@ -51,6 +51,16 @@
     return std::nullopt;
 }
 
+std::string regionOf(const EnvironmentDocument &document, std::string_view zone)
+{
+    for (const ZoneSpec &spec : document.zones) {
+        if (spec.name == zone) {
+            return spec.region;
+        }
+    }
+    return {};
+}
+
 std::optional<FleetKeys> fleetKeysFrom(const std::vector<FleetKeySetting> &settings)
 {
     FleetKeys keys;
--- a/packages/runtime/src/fleet.cpp
+++ b/packages/runtime/src/fleet.cpp
@@ -72,7 +72,6 @@
     void showVersion();
     [[nodiscard]] RelayOptions relayOptions();
     [[nodiscard]] MembershipOptions membershipOptions(const std::string &address);
-    [[nodiscard]] std::string regionOf(std::string_view zone) const;
     void onEvent(const MemberEvent &event);
     void askForVms();
     void gotVms(GBytes *bytes);
@@ -196,16 +195,6 @@
 
 // 2. Membership -----------------------------------------------------------------------------------
 
-std::string Fleet::Impl::regionOf(std::string_view zone) const
-{
-    for (const ZoneSpec &spec : options.document.current()->document.zones) {
-        if (spec.name == zone) {
-            return spec.region;
-        }
-    }
-    return {};
-}
-
 MembershipOptions Fleet::Impl::membershipOptions(const std::string &address)
 {
     MembershipOptions made;
@@ -221,7 +210,7 @@
     }
     made.seeds = options.process.seeds;
     made.seed = options.incarnation;
-    made.regionOf = [this](std::string_view zone) { return regionOf(zone); };
+    made.regionOf = [this](std::string_view zone) { return regionOf(options.document.current()->document, zone); };
     made.onEvent = [this](const MemberEvent &event) { onEvent(event); };
     made.mechanisms = options.mechanisms;
     return made;
@@ -446,6 +435,15 @@
     }
 }
 
+Suspicion Fleet::suspicion(std::uint64_t fingerprint) const
+{
+    if (!impl_->started) {
+        return Suspicion::None;
+    }
+    const auto fact = impl_->udp->membership().fact(FactKind::SuspectFingerprint, fingerprint, monotonicNow());
+    return fact ? static_cast<Suspicion>(std::min<std::uint64_t>(fact->value, static_cast<std::uint64_t>(Suspicion::Condemned))) : Suspicion::None;
+}
+
 void Fleet::beginLeaving()
 {
     if (impl_->started) {
