--- a/packages/agent/src/engine_request.cpp
+++ b/packages/agent/src/engine_request.cpp
@@ -14,7 +14,7 @@
     }
     (*json)["stream"] = true;
     (*json)["priority"] = submit.rank;
-    (*json)["cache_salt"] = toHex(submit.salt);
+    (*json)["cache_salt"] = std::to_string(submit.salt);
     (*json)["request_id"] = toString(submit.key);
     if (submit.resumeOffset > 0) {
         (*json)["resume_from"] = Json::UInt64(submit.resumeOffset);
