--- a/packages/agent/include/carobhall/agent.h
+++ b/packages/agent/include/carobhall/agent.h
@@ -10,14 +10,17 @@
 // Everything is used from the thread that iterates GLib's default main context.
 
 #include "carobhall/runtime.h"
+#include "carobhall/suspects.h"
 
 namespace Carobhall
 {
 
 struct AgentOptions {
     AgentSettings settings;
-    VersionedDocument document;
-    std::function<void()> onStopped; ///< A graceful shutdown is complete, or its deadline has passed.
+    VersionedDocument document;                           ///< Empty: the agent waits for one from a peer or the platform.
+    std::function<void()> onStopped;                      ///< A graceful shutdown is complete, or its deadline has passed.
+    std::function<void(const SuspectFact &)> onSuspect{}; ///< Learns of suspects as they change; may be empty.
+    Micros stallLimit = 30 * MicrosPerSecond;             ///< An answer of which nothing is taken this long is cancelled.
 };
 
 class Agent
@@ -30,7 +33,7 @@
     Agent &operator=(const Agent &) = delete;
 
     /// Starts listening. Fails with std::errc::address_in_use when an address is taken, and with Errc::InvalidSettings when
-    /// the document does not contain the upstream.
+    /// there is a document that does not contain the upstream.
     std::error_code start();
 
     /// Refuses new work as not run, finishes what was accepted, then calls onStopped. Repeated calls do nothing.
