--- a/packages/load/include/carobhall/admission.h
+++ b/packages/load/include/carobhall/admission.h
@@ -221,6 +221,7 @@
     Micros longestWait = 60 * MicrosPerSecond;       ///< Work that would wait longer is refused, whatever its deadline.
     Micros shortestRetryAfter = MicrosPerSecond / 4; ///< Below this a refused caller only adds load.
     Micros longestRetryAfter = 30 * MicrosPerSecond; ///< A caller that waits longer would miss the end of a surge.
+    std::uint32_t reservedSlots = 0;                 ///< Slots that free work leaves idle for paying work; see reservedSlots().
     bool refuseEarly = true;                         ///< False: take everything and let it expire; for measurement.
 };
 
@@ -275,6 +276,9 @@
     /// Learned tokens per second of the whole upstream when all slots are busy.
     [[nodiscard]] double tokensPerSecond() const;
     [[nodiscard]] const AdmissionTotals &totals() const;
+    /// Slots that free work may not take now. Running work cannot be preempted, so without a reserve paying work waits for the
+    /// next slot that becomes free. None are reserved while paying work is absent, nor more than the free rank's floor allows.
+    [[nodiscard]] std::uint32_t reservedSlots() const;
     /// Checks the tables against one another: each offer has ended once or is queued or running, sums and heaps agree, no
     /// more runs than there are slots, and nothing beside alone work. Returns what is wrong, or nothing. Slow; for tests.
     [[nodiscard]] std::string violation() const;
@@ -300,6 +304,7 @@
     [[nodiscard]] std::uint32_t find(Ticket ticket) const;
     [[nodiscard]] Ticket ticketOf(std::uint32_t item) const;
     [[nodiscard]] Micros waitOf(std::uint32_t flow) const;
+    [[nodiscard]] bool heldBack(std::uint32_t item) const;
     Admitted refuse(const Work &work, Micros wait, Micros now);
     void placeDeadline(std::uint32_t position, std::uint32_t item);
     void siftDeadline(std::uint32_t position);
--- a/packages/load/src/admission.cpp
+++ b/packages/load/src/admission.cpp
@@ -27,6 +27,9 @@
 // the end of a surge within the 5 s that recovery may take.
 constexpr double DemandSeconds = 2.0;
 
+// Below this share of the upstream's speed the paying rank counts as absent, and no slot is reserved for it.
+constexpr double LeastPayingLoad = 0.001;
+
 constexpr unsigned GenerationShift = 32;
 
 // Refused callers return over 1 to 1.5 times the advised time, so that a batch refused together does not return together.
@@ -134,8 +137,9 @@
 template<WorkOrder Order>
 Micros Admission<Order>::waitOf(std::uint32_t flow) const
 {
-    const std::uint32_t waiting = table_.queuedItems[0] + table_.queuedItems[1];
-    if (aloneItem_ == NoIndex && running() + waiting < options_.slots) {
+    const bool isFree = table_.flows[flow].rank == Rank::Free;
+    const std::uint32_t unavailable = isFree ? reservedSlots() + table_.queuedItems[indexOf(Rank::Free)] : 0;
+    if (aloneItem_ == NoIndex && running() + table_.queuedItems[indexOf(Rank::Paying)] + unavailable < options_.slots) {
         return 0;
     }
     // The next slot becomes free after an item's time divided by the slots; an item that runs alone takes its whole time.
@@ -236,6 +240,24 @@
     ++table_.runningItems[indexOf(table_.flows[row.flow].rank)];
 }
 
+template<WorkOrder Order>
+std::uint32_t Admission<Order>::reservedSlots() const
+{
+    if (table_.payingLoad < LeastPayingLoad) {
+        return 0;
+    }
+    const double beyondFloor = (1.0 - table_.ranks[indexOf(Rank::Free)].floor) * options_.slots;
+    return std::min({ options_.reservedSlots, options_.slots - 1, static_cast<std::uint32_t>(beyondFloor) });
+}
+
+template<WorkOrder Order>
+bool Admission<Order>::heldBack(std::uint32_t item) const
+{
+    const bool isFree = table_.flows[table_.items[item].flow].rank == Rank::Free;
+    // While paying work waits the order policy has decided for free work on account of its floor.
+    return isFree && table_.queuedItems[indexOf(Rank::Paying)] == 0 && running() > 0 && running() + reservedSlots() >= options_.slots;
+}
+
 template<WorkOrder Order>
 Ticket Admission<Order>::startNext(Micros now)
 {
@@ -244,6 +266,9 @@
         if (next == NoIndex || running() >= options_.slots || table_.items[next].deadline < now) {
             return 0;
         }
+        if (heldBack(next)) {
+            return 0;
+        }
         if (!table_.items[next].alone) {
             run(next, now);
             return ticketOf(next);
