Count all free work against the floor; calibrate waits; let light accounts catch up

Cause: the floor's credit counted free starts only while paying work waited, so a free surge was owed a fifth of all contended starts although it held half of the slots, and a burst of paying starts earned it more. Change: credit counts all free starts, is bounded below, and free work goes first only while it runs on no more than its floor's share of the slots. Estimated waits are corrected by a learned factor per account.

--- a/packages/load/include/carobhall/admission.h
+++ b/packages/load/include/carobhall/admission.h
@@ -87,10 +87,12 @@
     std::uint32_t deadlineIndex = NoIndex; ///< Place in the heap of deadlines.
     State state = State::Unused;
     bool alone = false;
-    bool contended = false; ///< Started while the other rank waited too, so it counts against the floors.
+    bool contended = false; ///< Counts against the free rank's floor: free work, or paying work that started while free work waited.
     double cost = 0.0;
     Micros deadline = 0;
     Micros startedAt = 0;
+    Micros offeredAt = 0;
+    Micros estimate = 0; ///< Of the wait when it was offered, before the flow's correction.
 };
 
 /// The work of one account in one rank.
@@ -103,6 +105,7 @@
     WorkList queue;                    ///< Queued items, first come first.
     std::uint32_t heapIndex = NoIndex; ///< Place in the heap of waiting flows.
     std::uint64_t waitingSince = 0;    ///< Breaks ties between equal start tags, first come first.
+    double waitFactor = 1.0;           ///< Learned ratio of actual to estimated waits.
 };
 
 /// What the order policies see. Owned by Admission.
@@ -113,7 +116,10 @@
     std::array<double, RankCount> queuedCost{};         ///< Tokens that wait, by rank.
     std::array<std::uint32_t, RankCount> queuedItems{}; ///< Items that wait, by rank.
     std::array<std::uint32_t, RankCount> runningItems{};
-    double payingLoad = 0.0; ///< Recent demand of the paying rank as a share of the upstream's speed.
+    double payingLoad = 0.0;  ///< Recent demand of the paying rank as a share of the upstream's speed.
+    double floorMemory = 0.0; ///< Tokens beyond its floor that the free rank is charged for at most.
+    std::uint32_t slots = 1;  ///< Of the upstream.
+    double burst = 0.0;       ///< Tokens that an account which used less than its share may catch up at once.
 };
 
 // 3. Order policies -------------------------------------------------------------------------------
@@ -139,10 +145,14 @@
 /// Paying work first, except that the other rank keeps its floor; within a rank, weighted fair queueing over accounts.
 ///
 /// Floors: paying work has precedence, so only the free rank's floor needs a mechanism. The free rank's credit grows by its
-/// floor's share of every token that starts while both ranks wait, and shrinks by the tokens that the rank starts itself.
-/// While the credit is not negative, waiting free work goes first. Idle times earn nothing.
-/// Fairness: start-time fair queueing. A flow's next item starts at max(virtual time, the flow's finish tag); the flow with
-/// the lowest start tag goes first. A corrected cost moves the finish tag.
+/// floor's share of every token that starts while free work waits, and shrinks by all tokens that the rank starts, whether
+/// paying work waits or not: a free surge that gets more than its floor anyway has no claim to go first. While the credit is
+/// not negative and the free rank runs on no more than its floor's share of the slots, waiting free work goes first: paying
+/// work that starts in bursts would otherwise earn credit for a free rank that runs on half of the slots. Idle times earn
+/// nothing, and the debt is bounded by WorkTable::floorMemory.
+/// Fairness: start-time fair queueing. A flow's next item starts at max(virtual time - burst, the flow's finish tag); the
+/// flow with the lowest start tag goes first. A corrected cost moves the finish tag. The burst lets an account that used
+/// less than its share send a few requests at once without waiting for its share to pass between them.
 class FairOrder
 {
 public:
@@ -301,9 +311,11 @@
     void noteDemand(double payingCost, Micros now);
     void run(std::uint32_t item, Micros now);
     void noteIdle(Rank rank);
+    void noteWait(std::uint32_t item, Micros now);
     [[nodiscard]] std::uint32_t find(Ticket ticket) const;
     [[nodiscard]] Ticket ticketOf(std::uint32_t item) const;
-    [[nodiscard]] Micros waitOf(std::uint32_t flow) const;
+    [[nodiscard]] Micros estimateOf(std::uint32_t flow) const;
+    [[nodiscard]] Micros correctedWait(std::uint32_t flow, Micros estimate) const;
     [[nodiscard]] bool heldBack(std::uint32_t item) const;
     Admitted refuse(const Work &work, Micros wait, Micros now);
     void placeDeadline(std::uint32_t position, std::uint32_t item);
--- a/packages/load/src/admission.cpp
+++ b/packages/load/src/admission.cpp
@@ -30,6 +30,17 @@
 // Below this share of the upstream's speed the paying rank counts as absent, and no slot is reserved for it.
 constexpr double LeastPayingLoad = 0.001;
 
+// How long free work that ran beyond its floor may have to stand back when paying work returns: the time that recovery may take.
+constexpr double FloorMemorySeconds = 5.0;
+
+// Requests of mean cost that an account may send at once after it has used less than its share.
+constexpr double BurstItems = 4.0;
+
+// Each started item moves a flow's wait factor by a tenth of the difference; single waits vary by several times their mean.
+constexpr double WaitFactorGain = 0.1;
+constexpr double LeastWaitFactor = 0.25;
+constexpr double GreatestWaitFactor = 4.0;
+
 constexpr unsigned GenerationShift = 32;
 
 // Refused callers return over 1 to 1.5 times the advised time, so that a batch refused together does not return together.
@@ -60,6 +71,7 @@
     , random_(seed)
 {
     table_.ranks = options.ranks;
+    table_.slots = options.slots;
     table_.flows.resize(UnknownFlows);
     for (std::size_t rank = 0; rank < RankCount; ++rank) {
         table_.flows[rank].rank = static_cast<Rank>(rank);
@@ -132,10 +144,12 @@
     payingTokens_ = payingTokens_ * std::exp(-toSeconds(now - demandAt_) / DemandSeconds) + payingCost;
     demandAt_ = now;
     table_.payingLoad = payingTokens_ / DemandSeconds / tokensPerSecond();
+    table_.floorMemory = FloorMemorySeconds * table_.ranks[indexOf(Rank::Free)].floor * tokensPerSecond();
+    table_.burst = BurstItems * itemCost_;
 }
 
 template<WorkOrder Order>
-Micros Admission<Order>::waitOf(std::uint32_t flow) const
+Micros Admission<Order>::estimateOf(std::uint32_t flow) const
 {
     const bool isFree = table_.flows[flow].rank == Rank::Free;
     const std::uint32_t unavailable = isFree ? reservedSlots() + table_.queuedItems[indexOf(Rank::Free)] : 0;
@@ -147,13 +161,20 @@
     return toMicros((order_.tokensAhead(table_, flow) + untilFree) / tokensPerSecond());
 }
 
+template<WorkOrder Order>
+Micros Admission<Order>::correctedWait(std::uint32_t flow, Micros estimate) const
+{
+    return static_cast<Micros>(static_cast<double>(estimate) * table_.flows[flow].waitFactor);
+}
+
 template<WorkOrder Order>
 Micros Admission<Order>::expectedWait(Rank rank, std::string_view account, Micros now)
 {
     noteDemand(0.0, now);
     const FlowNames &names = flowNames_[indexOf(rank)];
     const auto found = names.find(account);
-    return waitOf(found == names.end() ? static_cast<std::uint32_t>(rank) : found->second);
+    const std::uint32_t flow = found == names.end() ? static_cast<std::uint32_t>(rank) : found->second;
+    return correctedWait(flow, estimateOf(flow));
 }
 
 template<WorkOrder Order>
@@ -167,7 +188,8 @@
     const Micros latest = now + options_.longestWait;
     const Micros deadline = work.deadline > 0 ? std::min(work.deadline, latest) : latest;
     const std::uint32_t flow = flowOf(work);
-    if (const Micros wait = waitOf(flow); deadline <= now || (options_.refuseEarly && wait > deadline - now)) {
+    const Micros estimate = estimateOf(flow);
+    if (const Micros wait = correctedWait(flow, estimate); deadline <= now || (options_.refuseEarly && wait > deadline - now)) {
         return refuse(work, wait, now);
     }
     const std::uint32_t item = newItem();
@@ -177,6 +199,8 @@
     row.alone = work.alone;
     row.cost = work.cost;
     row.deadline = deadline;
+    row.offeredAt = now;
+    row.estimate = estimate;
     order_.push(table_, item);
     table_.flows[flow].queuedCost += work.cost;
     table_.queuedCost[indexOf(work.rank)] += work.cost;
@@ -229,11 +253,25 @@
     }
 }
 
+template<WorkOrder Order>
+void Admission<Order>::noteWait(std::uint32_t item, Micros now)
+{
+    const WorkItem &row = table_.items[item];
+    if (row.estimate == 0) {
+        return;
+    }
+    // Accounts whose work arrives later but goes first are not in the queue when an estimate is made.
+    double &factor = table_.flows[row.flow].waitFactor;
+    const double ratio = static_cast<double>(now - row.offeredAt) / static_cast<double>(row.estimate);
+    factor += (std::clamp(ratio, LeastWaitFactor, GreatestWaitFactor) - factor) * WaitFactorGain;
+}
+
 template<WorkOrder Order>
 void Admission<Order>::run(std::uint32_t item, Micros now)
 {
     dequeue(item);
     order_.start(table_, item);
+    noteWait(item, now);
     WorkItem &row = table_.items[item];
     row.state = WorkItem::State::Running;
     row.startedAt = now;
@@ -291,6 +329,7 @@
         return 0;
     }
     const Ticket ticket = ticketOf(deadlines_.front());
+    noteWait(deadlines_.front(), now);
     withdraw(deadlines_.front());
     ++totals_.expired;
     return ticket;
@@ -376,6 +415,7 @@
     options_.slots = slots;
     options_.ranks = ranks;
     table_.ranks = ranks;
+    table_.slots = slots;
 }
 
 template<WorkOrder Order>
--- a/packages/load/src/order.cpp
+++ b/packages/load/src/order.cpp
@@ -130,7 +130,7 @@
     if (flow.heapIndex != NoIndex) {
         return;
     }
-    flow.startTag = std::max(queue.virtualTime, flow.finishTag);
+    flow.startTag = std::max(queue.virtualTime - table.burst, flow.finishTag);
     flow.waitingSince = ++arrivals_;
     queue.heap.push_back(table.items[item].flow);
     sift(table, queue, static_cast<std::uint32_t>(queue.heap.size() - 1));
@@ -154,8 +154,7 @@
         flow.startTag = flow.finishTag;
         sift(table, queue, flow.heapIndex);
     }
-    const Rank other = flow.rank == Rank::Paying ? Rank::Free : Rank::Paying;
-    row.contended = table.queuedItems[indexOf(other)] > 0;
+    row.contended = flow.rank == Rank::Free || table.queuedItems[FreeIndex] > 0;
     if (row.contended) {
         settleFloor(table, flow.rank, row.cost);
     }
@@ -195,6 +194,7 @@
     if (rank == Rank::Free) {
         freeCredit_ -= tokens;
     }
+    freeCredit_ = std::max(freeCredit_, -table.floorMemory);
     if (table.queuedItems[FreeIndex] == 0) {
         freeCredit_ = std::min(freeCredit_, 0.0);
     }
@@ -207,7 +207,8 @@
     if (!payingWaits && !freeWaits) {
         return NoIndex;
     }
-    const bool owed = table.ranks[FreeIndex].floor > 0.0 && freeCredit_ >= 0.0;
+    const double floor = table.ranks[FreeIndex].floor;
+    const bool owed = floor > 0.0 && freeCredit_ >= 0.0 && table.runningItems[FreeIndex] <= floor * table.slots;
     const RankQueue &queue = queues_[freeWaits && (owed || !payingWaits) ? FreeIndex : PayingIndex];
     return table.flows[queue.heap.front()].queue.head;
 }
@@ -217,7 +218,7 @@
     const WorkFlow &flow = table.flows[index];
     const RankQueue &queue = queues_[indexOf(flow.rank)];
     const bool waits = flow.heapIndex != NoIndex;
-    const double tag = waits ? flow.startTag + flow.queuedCost / flow.share : std::max(queue.virtualTime, flow.finishTag);
+    const double tag = waits ? flow.startTag + flow.queuedCost / flow.share : std::max(queue.virtualTime - table.burst, flow.finishTag);
     const std::size_t step = std::max<std::size_t>(1, queue.heap.size() / SampledFlows);
     double ahead = 0.0;
     for (std::size_t i = 0; i < queue.heap.size(); i += step) {
