--- a/packages/membership/src/news.cpp
+++ b/packages/membership/src/news.cpp
@@ -1,7 +1,5 @@
 #include "news.h"
 
-#include <algorithm>
-
 namespace Carobhall
 {
 
@@ -9,34 +7,34 @@
 
 void NewsQueue::add(const NewsKey &key)
 {
-    const std::uint64_t generation = nextGeneration_++;
-    live_[key] = { .generation = generation, .transmissions = 0 };
-    queue_.push_front({ .key = key, .generation = generation });
+    remove(key);
+    const Position position{ .transmissions = 0, .age = nextAge_-- };
+    positions_.emplace(key, position);
+    queue_.emplace(position, key);
 }
 
 void NewsQueue::remove(const NewsKey &key)
 {
-    live_.erase(key);
+    if (const auto found = positions_.find(key); found != positions_.end()) {
+        queue_.erase(found->second);
+        positions_.erase(found);
+    }
 }
 
 void NewsQueue::drain(std::size_t limit, const std::function<bool(const NewsKey &)> &send)
 {
-    // Entries that were offered go to the back, so each is offered once.
-    for (std::size_t left = queue_.size(); left > 0; --left) {
-        const Queued entry = queue_.front();
-        const auto found = live_.find(entry.key);
-        if (found == live_.end() || found->second.generation != entry.generation) {
-            queue_.pop_front();
-            continue;
-        }
-        if (!send(entry.key)) {
-            return;
-        }
-        queue_.pop_front();
-        if (++found->second.transmissions < limit) {
-            queue_.push_back(entry);
+    // Entries that were sent go back into the queue only at the end, so each is offered once.
+    sent_.clear();
+    for (auto entry = queue_.begin(); entry != queue_.end() && send(entry->second);) {
+        sent_.emplace_back(entry->second, entry->first);
+        entry = queue_.erase(entry);
+    }
+    for (auto &[key, position] : sent_) {
+        if (++position.transmissions < limit) {
+            positions_[key] = position;
+            queue_.emplace(position, key);
         } else {
-            live_.erase(found);
+            positions_.erase(key);
         }
     }
 }
--- a/packages/membership/src/news.h
+++ b/packages/membership/src/news.h
@@ -4,7 +4,6 @@
 
 #include "datagram.h"
 
-#include <deque>
 #include <map>
 
 namespace Carobhall
@@ -22,7 +21,8 @@
     }
 };
 
-/// News in the order in which they are sent: the newest first, then those sent least recently. Each is sent a limited number of times.
+/// News in the order in which they are sent: those sent least often first, of these the newest. Each is sent a limited number of
+/// times. After many members joined at once the queue is long; fresh news still rides on every datagram until it has caught up.
 class NewsQueue
 {
 public:
@@ -35,21 +35,20 @@
 
     [[nodiscard]] std::size_t size() const
     {
-        return live_.size();
+        return positions_.size();
     }
 
 private:
-    struct Live {
-        std::uint64_t generation = 0;
+    struct Position {
         std::size_t transmissions = 0;
+        std::uint64_t age = 0; ///< Smaller for newer ones.
+
+        auto operator<=>(const Position &) const = default;
     };
-    struct Queued {
-        NewsKey key;
-        std::uint64_t generation = 0;
-    };
-    std::map<NewsKey, Live> live_;
-    std::deque<Queued> queue_; ///< May hold outdated generations, which are skipped.
-    std::uint64_t nextGeneration_ = 1;
+    std::map<NewsKey, Position> positions_;
+    std::map<Position, NewsKey> queue_;
+    std::vector<std::pair<NewsKey, Position>> sent_; ///< Used by drain().
+    std::uint64_t nextAge_ = ~std::uint64_t{ 0 };
 };
 
 /// The known facts with their expiry.
--- a/packages/membership/src/receiving.cpp
+++ b/packages/membership/src/receiving.cpp
@@ -25,8 +25,8 @@
     if (datagram.sender == own) {
         return;
     }
-    if (const std::size_t sender = table.positionOf(datagram.sender);
-        sender != MemberTable::NotFound && options.mechanisms.replayWindow && !table.acceptCounter(sender, datagram.counter)) {
+    const std::size_t before = table.positionOf(datagram.sender);
+    if (before != MemberTable::NotFound && options.mechanisms.replayWindow && !table.acceptCounter(before, datagram.counter)) {
         ++counters.replayed;
         return;
     }
@@ -38,6 +38,10 @@
         mergeFact(fact, true);
     }
     if (const std::size_t sender = table.positionOf(datagram.sender); sender != MemberTable::NotFound) {
+        if (before == MemberTable::NotFound) {
+            // The datagram introduced its sender; a copy of it must not count again.
+            (void)table.acceptCounter(sender, datagram.counter);
+        }
         table.member(sender).info.configVersion = std::max(table.member(sender).info.configVersion, datagram.configVersion);
         heardFrom(sender);
         if (options.mechanisms.addressCheck) {
@@ -132,7 +136,8 @@
 void Membership::Impl::checkAddress(std::size_t sender, const std::string &from)
 {
     const Member &member = table.members()[sender];
-    if (member.info.address != from) {
+    // A late datagram of an earlier process at the own address says nothing about this process.
+    if (member.info.address != from || from == table.members().front().info.address) {
         return;
     }
     const Incarnation holder = table.atAddress(from);
@@ -176,6 +181,11 @@
             probeAddress(row.info.address);
         }
     }
+    if (row.info.address == table.members().front().info.address && state != MemberState::Dead && options.mechanisms.addressCheck) {
+        // An earlier process at the own address has ended, because this one could bind it.
+        declareDead(position);
+        return;
+    }
     if (state == MemberState::Suspect) {
         startSuspicionTimer(position);
     } else {
--- a/packages/membership/tests/cluster.cpp
+++ b/packages/membership/tests/cluster.cpp
@@ -75,6 +75,9 @@
     if (sender.region != receiver.region && (regionCut_[sender.region] || regionCut_[receiver.region])) {
         return;
     }
+    if (const auto [one, other] = pathCut_; one != other && (std::pair(from, found->second) == pathCut_ || std::pair(found->second, from) == pathCut_)) {
+        return;
+    }
     const int copies = chance(options_.duplication) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
         const Micros spread = options_.maxDelay - options_.minDelay + 1;
@@ -93,6 +96,9 @@
         history_.push_back(flying);
     }
     node.receivedBytes += flying.payload.size() + SealOverhead;
+    if (node.paused && node.frozenVm) {
+        return;
+    }
     if (node.paused) {
         node.inbox.emplace_back(flying.from, flying.payload);
         return;
@@ -141,9 +147,10 @@
     start(node);
 }
 
-void Cluster::pause(std::size_t node)
+void Cluster::pause(std::size_t node, bool frozenVm)
 {
     nodes[node].paused = true;
+    nodes[node].frozenVm = frozenVm;
 }
 
 void Cluster::resume(std::size_t node)
@@ -159,6 +166,11 @@
     regionCut_[region] = cut;
 }
 
+void Cluster::cutPath(std::size_t one, std::size_t other)
+{
+    pathCut_ = { one, other };
+}
+
 void Cluster::replayHistory()
 {
     for (const Flying &flying : std::exchange(history_, {})) {
--- a/packages/membership/tests/cluster.h
+++ b/packages/membership/tests/cluster.h
@@ -17,7 +17,6 @@
     Micros minDelay = 500;
     Micros maxDelay = 3'000;
     std::size_t regions = 1; ///< Nodes are spread over regions in turn; each region is one zone.
-    bool prefilled = false;  ///< Nodes start with full tables instead of joining.
     MembershipMechanisms mechanisms{};
 };
 
@@ -32,6 +31,7 @@
         std::size_t region = 0;
         bool running = true;
         bool paused = false;
+        bool frozenVm = false;
         std::vector<std::pair<std::string, std::string>> inbox; ///< Datagrams (from, payload) that arrived during a pause.
         std::uint64_t sentDatagrams = 0;
         std::uint64_t sentBytes = 0; ///< Sealed.
@@ -46,9 +46,12 @@
     void crash(std::size_t node);
     /// Another process at the same address.
     void restart(std::size_t node);
-    void pause(std::size_t node);
+    /// The process stops running. Datagrams wait for it, or are lost when the whole VM is frozen.
+    void pause(std::size_t node, bool frozenVm = false);
     void resume(std::size_t node);
     void cutRegion(std::size_t region, bool cut);
+    /// Cuts the path between two nodes for good.
+    void cutPath(std::size_t one, std::size_t other);
     void setLoss(double loss)
     {
         options_.loss = loss;
@@ -92,6 +95,7 @@
     std::priority_queue<Flying, std::vector<Flying>, std::greater<>> flying_;
     std::vector<Flying> history_;
     std::vector<bool> regionCut_;
+    std::pair<std::size_t, std::size_t> pathCut_{};
     std::unordered_map<std::string, std::size_t> addresses_;
     std::uint64_t order_ = 0;
     Micros now_ = 0;
