--- a/packages/state/tests/claims_test.cpp
+++ b/packages/state/tests/claims_test.cpp
@@ -12,65 +12,39 @@
 namespace
 {
 
-constexpr Micros Tick = 10 * MicrosPerMilli;
 constexpr Micros WallStart = Micros{ 1'800'000'000 } * MicrosPerSecond;
 
-/// An agent that claims and runs; it can crash, restart with a new incarnation, and pause.
-struct Agent {
+/// An agent that claims and runs.
+class Agent : public SimulatedProcess
+{
+public:
     Agent(FakePlatform &fakePlatform, Incarnation first)
-        : platform(fakePlatform)
-        , transport(fakePlatform)
-        , incarnation(first)
+        : SimulatedProcess(fakePlatform, first)
     {
         start();
-        tick();
     }
-    void start()
+
+    std::unique_ptr<Claims> claims;
+    Micros wallShift = 0;
+    std::size_t valueLimit = PlatformValueLimit;
+
+private:
+    void create() override
     {
-        client = std::make_unique<PlatformClient>(transport, PlatformClientOptions{ .seed = incarnation, .callTimeout = 300 * MicrosPerMilli });
         ClaimsOptions options{ .environment = "guild", .holder = incarnation, .seed = incarnation };
         options.valueLimit = valueLimit;
         options.spentLimit = valueLimit / 2;
         claims = std::make_unique<Claims>(*client, options);
-        claims->tick(now(), WallStart + wallShift + now());
+        onTick();
     }
-    void crash()
+    void destroy() override
     {
         claims.reset();
-        client.reset();
-    }
-    void restart()
-    {
-        crash();
-        incarnation += 1000;
-        start();
-    }
-    void tick()
-    {
-        platform.time.after(Tick, [this] {
-            if (claims && now() >= transport.pausedUntil) {
-                client->tick(now());
-                claims->tick(now(), WallStart + wallShift + now());
-            }
-            tick();
-        });
-    }
-    [[nodiscard]] Micros now() const
-    {
-        return platform.time.now();
     }
-    [[nodiscard]] bool isUp() const
+    void onTick() override
     {
-        return claims && now() >= transport.pausedUntil;
+        claims->tick(now(), WallStart + wallShift + now());
     }
-
-    FakePlatform &platform;
-    FakeTransport transport;
-    Incarnation incarnation;
-    std::unique_ptr<PlatformClient> client;
-    std::unique_ptr<Claims> claims;
-    Micros wallShift = 0;
-    std::size_t valueLimit = PlatformValueLimit;
 };
 
 ClaimKey keyNumber(int number)
@@ -183,36 +157,13 @@
     bool crashed = false;
 };
 
-Fate fateOf(int choice)
-{
-    switch (choice) {
-    case 0:
-        return { .lostThere = true };
-    case 1:
-        return { .lostBack = true };
-    case 2:
-        return { .delayThere = 800 * MicrosPerMilli };
-    case 3:
-        return { .delayThere = 4 * MicrosPerSecond };
-    default:
-        return {};
-    }
-}
-
 /// Runs \p steps with \p faults on the calls and checks what is left afterwards.
 void runWorld(const std::vector<Step> &steps, const std::vector<int> &faults, int crashAtCall, bool crashAfter)
 {
     World world;
     std::size_t calls = 0;
     for (const std::unique_ptr<Agent> &agent : world.agents) {
-        agent->transport.decide = [&, raw = agent.get()](const PlatformCall &) {
-            const std::size_t call = calls++;
-            if (static_cast<int>(call) == crashAtCall) {
-                world.crashed = true;
-                world.time.after(crashAfter ? 1500 : 0, [raw] { raw->crash(); });
-            }
-            return call < faults.size() ? fateOf(faults[call]) : Fate{};
-        };
+        injectFaults(*agent, calls, faults, crashAtCall, crashAfter, world.crashed);
     }
     Micros at = world.time.now();
     for (const Step &step : steps) {
--- a/packages/state/tests/configuration_test.cpp
+++ b/packages/state/tests/configuration_test.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr Micros Tick = 10 * MicrosPerMilli;
 constexpr Micros Target = 3 * MicrosPerSecond;
 
 /// Bytes that a message takes on the network besides its text: frame, encryption and headers.
--- a/packages/state/tests/fake_platform.h
+++ b/packages/state/tests/fake_platform.h
@@ -203,7 +203,7 @@
             if (platform.time.now() < pausedUntil) {
                 deliver(pausedUntil, reply, done);
             } else {
-                done(reply, platform.time.now());
+                done(reply, platform.time.now() + clockShift);
             }
         });
     }
@@ -238,8 +238,103 @@
     FakePlatform &platform;
     Micros latency = MicrosPerMilli;
     Micros pausedUntil = 0;
-    bool cut = false; ///< Cut off from the platform: everything is lost.
+    Micros clockShift = 0; ///< Of the process's monotonic clock.
+    bool cut = false;      ///< Cut off from the platform: everything is lost.
     std::function<Fate(const PlatformCall &)> decide;
 };
 
+/// What the small number \p choice stands for in a list of faults.
+inline Fate fateOf(int choice)
+{
+    switch (choice) {
+    case 0:
+        return { .lostThere = true };
+    case 1:
+        return { .lostBack = true };
+    case 2:
+        return { .delayThere = 800 * MicrosPerMilli };
+    case 3:
+        return { .delayThere = 4 * MicrosPerSecond };
+    default:
+        return {};
+    }
+}
+
+inline constexpr Micros Tick = 10 * MicrosPerMilli;
+
+/// A process that can crash, restart with a new incarnation, and pause.
+class SimulatedProcess
+{
+public:
+    SimulatedProcess(FakePlatform &fakePlatform, Incarnation first)
+        : platform(fakePlatform)
+        , transport(fakePlatform)
+        , incarnation(first)
+    {
+        tick();
+    }
+    virtual ~SimulatedProcess() = default;
+    SimulatedProcess(const SimulatedProcess &) = delete;
+    SimulatedProcess &operator=(const SimulatedProcess &) = delete;
+
+    void start()
+    {
+        client = std::make_unique<PlatformClient>(transport, PlatformClientOptions{ .seed = incarnation, .callTimeout = 300 * MicrosPerMilli });
+        create();
+    }
+    void crash()
+    {
+        destroy();
+        client.reset();
+    }
+    void restart()
+    {
+        crash();
+        incarnation += 1000;
+        start();
+    }
+    [[nodiscard]] Micros now() const
+    {
+        return platform.time.now() + transport.clockShift;
+    }
+    [[nodiscard]] bool isUp() const
+    {
+        return client && platform.time.now() >= transport.pausedUntil;
+    }
+
+    FakePlatform &platform;
+    FakeTransport transport;
+    Incarnation incarnation;
+    std::unique_ptr<PlatformClient> client;
+
+private:
+    virtual void create() = 0;
+    virtual void destroy() = 0;
+    virtual void onTick() = 0;
+
+    void tick()
+    {
+        platform.time.after(Tick, [this] {
+            if (isUp()) {
+                client->tick(now());
+                onTick();
+            }
+            tick();
+        });
+    }
+};
+
+/// Crashes \p process around call \p crashAt of all counted calls, before or after the call takes effect.
+inline void injectFaults(SimulatedProcess &process, std::size_t &calls, const std::vector<int> &faults, int crashAt, bool crashAfter, bool &crashed)
+{
+    process.transport.decide = [&, crashAt, crashAfter](const PlatformCall &) {
+        const std::size_t call = calls++;
+        if (static_cast<int>(call) == crashAt) {
+            crashed = true;
+            process.platform.time.after(crashAfter ? 1500 : 0, [&process] { process.crash(); });
+        }
+        return call < faults.size() ? fateOf(faults[call]) : Fate{};
+    };
+}
+
 } // namespace Carobhall::Testing
--- a/packages/state/tests/platform_test.cpp
+++ b/packages/state/tests/platform_test.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr Micros Tick = 10 * MicrosPerMilli;
-
 struct Process {
     Process(FakePlatform &platform, std::uint64_t seed)
         : transport(platform)
@@ -36,8 +34,8 @@
     std::function<void()> onTick;
 };
 
-/// One fault for one call, from a small number.
-Fate fateOf(int choice)
+/// Faults that let a call take effect, or its answer arrive, after the client has given it up.
+Fate lateFateOf(int choice)
 {
     switch (choice) {
     case 0:
@@ -64,7 +62,7 @@
     Process second(platform, 2);
     const auto faults = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 9));
     std::size_t used = 0;
-    const auto decide = [&](const PlatformCall &) { return used < faults.size() ? fateOf(faults[used++]) : Fate{}; };
+    const auto decide = [&](const PlatformCall &) { return used < faults.size() ? lateFateOf(faults[used++]) : Fate{}; };
     first.transport.decide = decide;
     second.transport.decide = decide;
 
