--- a/packages/state/tests/claims_test.cpp
+++ b/packages/state/tests/claims_test.cpp
@@ -139,7 +139,7 @@
         } else if (step.action == 11 && !agent.claims) {
             agent.restart();
         } else if (step.action == 12) {
-            agent.transport.pausedUntil = time.now() + 3 * MicrosPerSecond;
+            agent.pause();
         } else if (step.action == 13) {
             platform.outage = !platform.outage;
         } else {
@@ -226,7 +226,7 @@
     };
     constexpr int callCount = 30;
     for (int call = 0; call < callCount; ++call) {
-        for (int fault = 0; fault < 4; ++fault) {
+        for (int fault = 0; fault <= PauseFault; ++fault) {
             std::vector<int> faults(callCount, 9);
             faults[static_cast<std::size_t>(call)] = fault;
             runWorld(list, faults, -1, false);
--- a/packages/state/tests/fake_platform.h
+++ b/packages/state/tests/fake_platform.h
@@ -293,6 +293,10 @@
         incarnation += 1000;
         start();
     }
+    virtual void pause()
+    {
+        transport.pausedUntil = platform.time.now() + pauseDuration;
+    }
     [[nodiscard]] Micros now() const
     {
         return platform.time.now() + transport.clockShift;
@@ -306,6 +310,7 @@
     FakeTransport transport;
     Incarnation incarnation;
     std::unique_ptr<PlatformClient> client;
+    Micros pauseDuration = 3 * MicrosPerSecond;
 
 private:
     virtual void create() = 0;
@@ -324,7 +329,9 @@
     }
 };
 
-/// Crashes \p process around call \p crashAt of all counted calls, before or after the call takes effect.
+inline constexpr int PauseFault = 4; ///< The process is paused before it gets the answer.
+
+/// Gives the calls of \p process their faults, and crashes it around call \p crashAt of all counted calls, before or after the call takes effect.
 inline void injectFaults(SimulatedProcess &process, std::size_t &calls, const std::vector<int> &faults, int crashAt, bool crashAfter, bool &crashed)
 {
     process.transport.decide = [&, crashAt, crashAfter](const PlatformCall &) {
@@ -333,7 +340,11 @@
             crashed = true;
             process.platform.time.after(crashAfter ? 1500 : 0, [&process] { process.crash(); });
         }
-        return call < faults.size() ? fateOf(faults[call]) : Fate{};
+        const int fault = call < faults.size() ? faults[call] : -1;
+        if (fault == PauseFault) {
+            process.pause();
+        }
+        return fateOf(fault);
     };
 }
 
--- a/packages/state/tests/leases_test.cpp
+++ b/packages/state/tests/leases_test.cpp
@@ -37,19 +37,21 @@
         , server(index % ServerCount)
     {
         transport.clockShift = index * Micros{ 1'000'000'000 };
+        pauseDuration = LongPause;
         start();
     }
-    void pause(Micros duration)
+    void pause() override
     {
         staleNow = now();
-        transport.pausedUntil = platform.time.now() + duration;
+        SimulatedProcess::pause();
     }
 
     World &world;
     int server;
     std::unique_ptr<Leases> leases;
     std::unique_ptr<OrderRunner> runner;
-    Micros staleNow = 0; ///< The process was paused after it had read this time.
+    Micros staleNow = 0;            ///< The process was paused after it had read this time.
+    std::uint64_t pauseAtGrant = 0; ///< The process is paused before it acts on this grant; 0: not at all.
 
 private:
     void create() override;
@@ -57,6 +59,7 @@
     {
         runner.reset();
         leases.reset();
+        pauseAtGrant = 0;
     }
     void onTick() override
     {
@@ -64,6 +67,11 @@
             runner->tick(std::exchange(staleNow, 0));
         }
         leases->tick(now());
+        if (pauseAtGrant != 0 && leases->stats().granted >= pauseAtGrant) {
+            pauseAtGrant = 0;
+            pause();
+            return;
+        }
         runner->tick(now());
     }
 };
@@ -158,9 +166,11 @@
         } else if (action == 1 && !agent.client) {
             agent.restart();
         } else if (action == 2) {
-            agent.pause(LongPause);
+            agent.pause();
         } else if (action == 3) {
             platform.outage = !platform.outage;
+        } else if (action == 4 && agent.client) {
+            agent.pauseAtGrant = agent.leases->stats().granted + 2;
         } else {
             order(agent, number);
         }
@@ -254,10 +264,11 @@
 // Guards against a step of the protocol where a crash or a lost or late answer does harm: each call in turn gets each fault.
 BOOST_AUTO_TEST_CASE(everyStepSurvivesEachFault)
 {
-    const std::vector<Step> list = { { 0, 5, 0, 0 }, { 4, 5, 0, 10 }, { 1, 5, 1, 10 }, { 2, 5, 0, 10 }, { 3, 5, 2, 10 }, { 0, 2, 0, 300 }, { 5, 5, 1, 4000 } };
+    const std::vector<Step> list = { { 0, 4, 0, 0 },  { 0, 5, 0, 0 },  { 4, 5, 0, 10 },  { 1, 5, 1, 10 },
+                                     { 2, 5, 0, 10 }, { 3, 5, 2, 10 }, { 1, 2, 0, 300 }, { 5, 5, 1, 4000 } };
     constexpr int callCount = 30;
     for (int call = 0; call < callCount; ++call) {
-        for (int fault = 0; fault < 4; ++fault) {
+        for (int fault = 0; fault <= PauseFault; ++fault) {
             std::vector<int> faults(callCount, 9);
             faults[static_cast<std::size_t>(call)] = fault;
             runWorld(list, faults, -1, false);
