--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -1,6 +1,8 @@
 #include "carobhall/agent.h"
 #include "attempt_runner.h"
+#include "cache_feed.h"
 #include "carobhall/fleet.h"
+#include "suspect_news.h"
 
 namespace Carobhall
 {
@@ -8,7 +10,15 @@
 namespace
 {
 
-constexpr Micros TickInterval = 20 * MicrosPerMilli;
+constexpr Micros TickInterval = 10 * MicrosPerMilli;
+
+std::unique_ptr<ClaimStep> makeClaims(const AgentSettings &settings, Incarnation holder, PlatformClient *platform)
+{
+    if (platform == nullptr) {
+        return std::make_unique<NoClaims>();
+    }
+    return std::make_unique<PlatformClaims>(*platform, settings.process.environment, holder);
+}
 
 } // namespace
 
@@ -25,10 +35,12 @@
     Incarnation incarnation = drawIncarnation();
     Metrics metrics;
     DocumentHolder document;
-    MemoryClaims claims;
+    PrefixState prefixes;
     Endpoint endpoint;
     Fleet fleet;
+    std::unique_ptr<ClaimStep> claims;
     UpstreamClient upstream;
+    CacheFeed feed;
     AttemptRunner runner;
     AdminListener admin;
     Timer tickTimer;
@@ -68,11 +80,33 @@
           .endpoint = endpoint,
           .document = document,
           .onMembers = {},
-          .onFact = {},
+          .onFact =
+              [this](const Fact &fact) {
+                  if (const auto suspect = suspectFrom(fact)) {
+                      runner.mergeSuspect(*suspect);
+                  }
+              },
       })
+    , claims(makeClaims(options.settings, incarnation, fleet.platform()))
     , upstream({
           .address = options.settings.upstreamAddress,
-          .onIncarnation = [this](Incarnation now) { runner.upstreamReplaced(now); },
+          .onIncarnation =
+              [this](Incarnation now) {
+                  feed.engineIs(now);
+                  runner.upstreamReplaced(now);
+              },
+          .onLoad =
+              [this](const std::string &text) {
+                  if (const auto load = parseJson(text); load && load->isObject() && (*load)["prefill_micros_per_piece"].isInt64()) {
+                      prefixes.suggestPrefillPerPiece((*load)["prefill_micros_per_piece"].asInt64());
+                  }
+              },
+      })
+    , feed({
+          .address = options.settings.upstreamAddress,
+          .prefixes = prefixes,
+          .onIncarnation = [this](Incarnation now) { upstream.noteIncarnation(now); },
+          .onBroken = [this] { upstream.check(upstream.incarnation(), [](EngineCheck) {}); },
       })
     , runner({
           .settings = options.settings,
@@ -80,8 +114,17 @@
           .document = document,
           .endpoint = endpoint,
           .upstream = upstream,
-          .claims = claims,
+          .claims = *claims,
+          .prefixes = prefixes,
           .metrics = metrics,
+          .stallLimit = options.stallLimit,
+          .onSuspect =
+              [this](const SuspectFact &fact) {
+                  fleet.publish(factOf(fact));
+                  if (options.onSuspect) {
+                      options.onSuspect(fact);
+                  }
+              },
       })
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
@@ -127,6 +170,11 @@
     }
     upstreamStarted = true;
     upstream.start(role->isModel);
+    if (role->isModel) {
+        feed.start();
+    } else if (fleet.platform() == nullptr) {
+        logEvent(LogLevel::Warning, "no_platform", { { "effect", "calls with an Idempotency-Key that must not be repeated are refused" } });
+    }
 }
 
 void Agent::Impl::publishUpstream()
@@ -145,12 +193,14 @@
 void Agent::Impl::tick()
 {
     const Micros now = monotonicNow();
+    claims->tick(now);
+    feed.tick(now);
     runner.tick(now);
     publishUpstream();
     if (!leaving || stopped) {
         return;
     }
-    const bool idle = runner.isIdle();
+    const bool idle = runner.isIdle() && claims->isIdle();
     if (idle || now > stopBy) {
         stopped = true;
         logEvent(idle ? LogLevel::Info : LogLevel::Warning, "stopped", { { "all_delivered", idle } });
--- a/packages/agent/src/engine_request.cpp
+++ b/packages/agent/src/engine_request.cpp
@@ -38,4 +38,27 @@
     return request;
 }
 
+std::string promptOf(const Submit &submit)
+{
+    const auto json = parseJson(submit.body);
+    if (!json || !json->isObject()) {
+        return {};
+    }
+    if (const Json::Value &prompt = (*json)["prompt"]; prompt.isString()) {
+        return prompt.asString();
+    }
+    std::string text;
+    const Json::Value &messages = (*json)["messages"];
+    if (!messages.isArray()) {
+        return {};
+    }
+    for (const Json::Value &message : messages) {
+        if (!message.isObject() || !message["role"].isString() || !message["content"].isString()) {
+            return {};
+        }
+        text += message["role"].asString() + "\n" + message["content"].asString() + "\n";
+    }
+    return text;
+}
+
 } // namespace Carobhall
--- /dev/null
+++ b/packages/agent/src/suspect_news.cpp
@@ -0,0 +1,68 @@
+#include "suspect_news.h"
+
+#include <algorithm>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+constexpr unsigned HashBits = 32;
+constexpr std::uint64_t StepsPerEpisode = 16;
+
+std::uint64_t knowledge(const SuspectFact &suspect)
+{
+    const std::array<bool, 5> steps{ suspect.firstEngine != 0, suspect.secondEngine != 0, suspect.aloneStarted, suspect.aloneCrashed, suspect.exonerated };
+    return suspect.episode * StepsPerEpisode + static_cast<std::uint64_t>(std::count(steps.begin(), steps.end(), true));
+}
+
+/// The same in every process: FNV-1a over what the fact says.
+std::uint32_t tieBreaker(const SuspectFact &suspect)
+{
+    constexpr std::uint32_t offsetBasis = 2166136261U;
+    constexpr std::uint32_t prime = 16777619U;
+    const std::uint64_t flags = (suspect.aloneStarted ? 1U : 0U) | (suspect.aloneCrashed ? 2U : 0U) | (suspect.exonerated ? 4U : 0U);
+    std::uint32_t hash = offsetBasis;
+    for (const std::uint64_t word : { suspect.firstEngine, suspect.secondEngine, flags }) {
+        for (unsigned shift = 0; shift < 64; shift += 8) {
+            hash = (hash ^ static_cast<std::uint32_t>(word >> shift & 0xFFU)) * prime;
+        }
+    }
+    return hash;
+}
+
+} // namespace
+
+Fact factOf(const SuspectFact &suspect)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, suspect);
+    return {
+        .kind = static_cast<std::uint8_t>(FactKind::SuspectFingerprint),
+        .key = suspect.fingerprint,
+        .value = knowledge(suspect) << HashBits | tieBreaker(suspect),
+        .text = std::string(buffer.data(), buffer.size()),
+        .ttl = SuspectOptions{}.condemnedLifetime,
+    };
+}
+
+std::optional<SuspectFact> suspectFrom(const Fact &fact)
+{
+    if (fact.kind != static_cast<std::uint8_t>(FactKind::SuspectFingerprint)) {
+        return std::nullopt;
+    }
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(fact.text.data(), fact.text.size());
+        SuspectFact suspect = handle.get().as<SuspectFact>();
+        if (suspect.fingerprint != fact.key) {
+            return std::nullopt;
+        }
+        suspect.age = std::max<Micros>(suspect.age, 0);
+        return suspect;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Carobhall
