entry: failure tests with real programs; suspects from membership's facts

Cause: an engine crash spreads as a fact whose text holds what is known of the request; the entry process read the fact's value as a suspicion and refused a continuation after the first crash. An alone home could be the upstream that had just crashed, because membership tells later than the failed attempt. A restarted process asked no peer to confirm its document when it knew none at its first tick, and served only after the start timeout of 100 ms.

Change: the codec of suspect facts moves from the agent to the runtime, and the entry process keeps a table of suspects. The alone home leaves out upstreams that are known to be down. The configuration relay waits for the first peer before it asks, and after a start any peer's answer confirms. Seven tests run real programs: start from peers and platform alone, kill -9 of an agent, SIGSTOP and SIGCONT, restart of all entry processes, a leaving agent, an address used again, configuration changes in 30 processes.

--- a/packages/entry/src/chooser.cpp
+++ b/packages/entry/src/chooser.cpp
@@ -332,12 +332,23 @@
     return { .choice = ask.keyed ? chooseKeyed(ask) : chooseRouted(ask), .error = {} };
 }
 
+bool Chooser::isKnownDown(const Ask &ask, const std::string &upstream) const
+{
+    for (const Candidate &candidate : ask.candidates) {
+        if (candidate.upstream == upstream && candidate.reply) {
+            return static_cast<UpstreamState>(candidate.reply->state) != UpstreamState::Accepting;
+        }
+    }
+    return ask.avoid.contains(agents_.at(upstream).address);
+}
+
 std::optional<AgentChoice> Chooser::chooseAlone(const Ask &ask)
 {
-    // All entry processes must pick the same home, so that replies and the policy play no part.
+    // All entry processes must pick the same home, so that load and cache play no part. Membership tells later than a reply or a
+    // failed attempt that an upstream is down.
     std::vector<std::string> names;
     for (const ServerRow &row : router_->servers()) {
-        if (isUsable(row, *ask.prompt)) {
+        if (isUsable(row, *ask.prompt) && !isKnownDown(ask, row.server.name)) {
             names.push_back(row.server.name);
         }
     }
@@ -351,7 +362,6 @@
     auto choice = choiceOf(ask, routed);
     if (choice) {
         choice->alone = true;
-        choice->avoided = ask.avoid.contains(choice->address);
     }
     return choice;
 }
--- a/packages/entry/src/chooser.h
+++ b/packages/entry/src/chooser.h
@@ -113,6 +113,7 @@
     void sendProbes(std::uint64_t id, Ask &ask, const CallerRequest &request);
     void settle(std::uint64_t id);
     [[nodiscard]] ChooseResult decide(Ask &ask);
+    [[nodiscard]] bool isKnownDown(const Ask &ask, const std::string &upstream) const;
     [[nodiscard]] std::optional<AgentChoice> chooseAlone(const Ask &ask);
     [[nodiscard]] std::optional<AgentChoice> chooseKeyed(const Ask &ask);
     [[nodiscard]] std::optional<AgentChoice> chooseRouted(const Ask &ask);
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/entry.h"
 #include "carobhall/fleet.h"
+#include "carobhall/suspect_news.h"
 #include "http_front.h"
 
 namespace Carobhall
@@ -9,6 +10,7 @@
 {
 
 constexpr Micros TickInterval = 20 * MicrosPerMilli;
+constexpr Micros SuspectExpiryInterval = 5 * MicrosPerSecond;
 
 /// The policy of a settings file; "rendezvous" stands for the one with bounded load.
 std::optional<PolicyKind> policyNamed(std::string_view name)
@@ -32,6 +34,7 @@
     Incarnation incarnation = drawIncarnation();
     Metrics metrics;
     DocumentHolder document;
+    Suspects suspects;
     Endpoint endpoint;
     Fleet fleet;
     AgentLinks links;
@@ -43,6 +46,7 @@
     bool leaving = false;
     bool stopped = false;
     Micros stopBy = 0;
+    Micros nextExpiry = 0;
 };
 
 Entry::Impl::Impl(EntryOptions entryOptions)
@@ -67,7 +71,12 @@
           .endpoint = endpoint,
           .document = document,
           .onMembers = [this] { refreshAgents(); },
-          .onFact = {},
+          .onFact =
+              [this](const Fact &fact) {
+                  if (const auto suspect = suspectFrom(fact)) {
+                      suspects.merge(*suspect, monotonicNow());
+                  }
+              },
       })
     , links({
           .endpoint = endpoint,
@@ -86,7 +95,7 @@
           .policy = policyNamed(options.settings.policy).value_or(PolicyKind::Probe),
           .seed = incarnation,
           .probeTimeout = options.settings.probeTimeout,
-          .suspicion = [this](std::uint64_t fingerprint) { return fleet.suspicion(fingerprint); },
+          .suspicion = [this](std::uint64_t fingerprint) { return suspects.suspicion(fingerprint, monotonicNow()); },
           .onNoAnswer = [this](const AgentLink &link) { fleet.reportFailure(link.agent.incarnation); },
           .onVersion = [this](const AgentLink &link, std::uint64_t version) { fleet.noteVersion(link.peer.name, version); },
       })
@@ -156,6 +165,10 @@
     const Micros now = monotonicNow();
     links.tick(now);
     front.tick(now);
+    if (now >= nextExpiry) {
+        nextExpiry = now + SuspectExpiryInterval;
+        suspects.expire(now);
+    }
     dispatcher.tick(now);
     if (!leaving || stopped) {
         return;
--- a/packages/entry/tests/fleet_test.cpp
+++ b/packages/entry/tests/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include "programs.h"
 
 #include <csignal>
+#include <future>
 
 using namespace Carobhall;
 using namespace Carobhall::Testing;
@@ -44,6 +45,20 @@
     }
 }
 
+bool allAnswered(const Calls &calls)
+{
+    return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return call->answered; });
+}
+
+/// An account's first retry is free; the others are earned by ten requests each.
+void earnRetries(std::uint16_t port)
+{
+    for (int i = 0; i < 100; ++i) {
+        Call call(port, { .body = R"({"model":"needle","prompt":"x","max_tokens":1})" });
+        BOOST_REQUIRE(runUntil([&] { return call.done; }));
+    }
+}
+
 } // namespace
 
 // Guards against entry processes that find no agents or no document by themselves: only seeds and the platform are given.
@@ -64,14 +79,136 @@
 {
     Site site({ .engines = 3 });
     BOOST_REQUIRE(site.waitReady(3));
-    // Each account's first retry is free; the others are earned, ten requests each.
-    for (int i = 0; i < 100; ++i) {
-        Call call(site.callerPorts[0], { .body = R"({"model":"needle","prompt":"x","max_tokens":1})" });
-        BOOST_REQUIRE(runUntil([&] { return call.done; }));
-    }
+    earnRetries(site.callerPorts[0]);
     const Calls calls = startStreams(site.callerPorts[0], 9, "killed ");
-    BOOST_REQUIRE(runUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return call->answered; }); }));
+    BOOST_REQUIRE(runUntil([&] { return allAnswered(calls); }));
     site.agents[1]->kill();
     BOOST_TEST(runUntil([&] { return allDone(calls); }));
     checkStreams(calls, site.callerPorts[0], "killed ");
 }
+
+// Guards against requests that hang or fail on an agent that is paused, and against an agent that stays out after it.
+BOOST_AUTO_TEST_CASE(frozenAgentIsAvoidedAndComesBack)
+{
+    Site site({ .engines = 3 });
+    BOOST_REQUIRE(site.waitReady(3));
+    earnRetries(site.callerPorts[0]);
+    const Calls calls = startStreams(site.callerPorts[0], 9, "frozen ");
+    BOOST_REQUIRE(runUntil([&] { return allAnswered(calls); }));
+    site.agents[1]->signal(SIGSTOP);
+    BOOST_TEST(runUntil([&] { return allDone(calls); }));
+    for (int i = 0; i < 20; ++i) {
+        Call call(site.callerPorts[0], { .body = completionBody(true, "while frozen " + std::to_string(i)) });
+        BOOST_TEST(runUntil([&] { return call.done; }, 5 * MicrosPerSecond));
+        BOOST_TEST(call.endsNormally());
+    }
+    BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 2; }));
+    site.agents[1]->signal(SIGCONT);
+    BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 3; }));
+    checkStreams(calls, site.callerPorts[0], "frozen ");
+}
+
+// Guards against a restart that waits for the platform, for a timer or for connections. The limit is that of invariant I3.
+BOOST_AUTO_TEST_CASE(allEntriesRestartedServeWithin200Milliseconds)
+{
+    constexpr Micros limit = 200 * MicrosPerMilli;
+    for (const bool platformUp : { true, false }) {
+        for (const bool documentFiles : { true, false }) {
+            Site site({ .engines = 3, .entries = 3, .documentFiles = documentFiles });
+            BOOST_REQUIRE(site.waitReady(3));
+            if (!platformUp) {
+                site.platform->kill();
+            }
+            for (auto &entry : site.entries) {
+                entry->kill();
+            }
+            std::vector<std::future<Micros>> served;
+            for (std::size_t i = 0; i < site.entries.size(); ++i) {
+                const Micros start = monotonicNow();
+                site.startEntry(i);
+                served.push_back(
+                    std::async(std::launch::async, [start, port = site.callerPorts[i]] { return firstServed(port, 5 * MicrosPerSecond) - start; }));
+            }
+            for (std::future<Micros> &each : served) {
+                const Micros elapsed = each.get();
+                BOOST_TEST_MESSAGE("restart platform_up=" << platformUp << " document_file=" << documentFiles << " first_served_us=" << elapsed);
+                BOOST_TEST(elapsed < limit);
+            }
+        }
+    }
+}
+
+// Guards against new work for an agent that leaves, and against streams that its shutdown cuts.
+BOOST_AUTO_TEST_CASE(leavingAgentGetsNoNewWorkAndCutsNothing)
+{
+    Site site({ .engines = 3 });
+    BOOST_REQUIRE(site.waitReady(3));
+    const Calls calls = startStreams(site.callerPorts[0], 9, "leaving ");
+    BOOST_REQUIRE(runUntil([&] { return allAnswered(calls); }));
+    const Micros start = monotonicNow();
+    site.agents[1]->signal(SIGTERM);
+    BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 2; }, 3 * MicrosPerSecond));
+    BOOST_TEST_MESSAGE("leaving known_us=" << monotonicNow() - start);
+    BOOST_TEST(runUntil([&] { return allDone(calls); }));
+    BOOST_TEST(runUntil([&] { return site.agents[1]->hasExited(); }));
+    BOOST_TEST(site.logCount("entry-0.log", "event=attempt_failed") == 0U);
+    checkStreams(calls, site.callerPorts[0], "leaving ");
+}
+
+// Guards against an entry process that takes another process at a known address for the one that was there.
+BOOST_AUTO_TEST_CASE(addressUsedAgainByAnotherAgent)
+{
+    Site site({ .engines = 3 });
+    BOOST_REQUIRE(site.waitReady(3));
+    earnRetries(site.callerPorts[0]);
+    const std::uint16_t address = site.agentWirePorts[1];
+    site.agents[1]->kill();
+    site.agents[2]->kill();
+    // The agent of the last upstream now has the address of the agent before it.
+    site.startAgent(2, address);
+    for (int i = 0; i < 20; ++i) {
+        Call call(site.callerPorts[0], { .body = completionBody(true, "address " + std::to_string(i)) });
+        BOOST_TEST(runUntil([&] { return call.done; }, 5 * MicrosPerSecond));
+        BOOST_TEST(call.endsNormally());
+    }
+    BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 2; }));
+    const auto state = site.dump(site.entryAdminPorts[0]);
+    BOOST_REQUIRE(state.has_value());
+    for (const Json::Value &agent : (*state)["agents"]) {
+        if (agent["address"].asString() == "127.0.0.1:" + std::to_string(address)) {
+            BOOST_TEST(agent["upstream"].asString() == "needle-2");
+        }
+    }
+}
+
+// Guards against a change that reaches some processes late or never, and against a version that goes back.
+BOOST_AUTO_TEST_CASE(configurationIsInEffectEverywhereWithinThreeSeconds)
+{
+    constexpr Micros limit = 3 * MicrosPerSecond;
+    Site site({ .engines = 27, .entries = 3, .documentFiles = false, .sharedEngines = 2 });
+    BOOST_REQUIRE(site.waitReady(27, 20 * MicrosPerSecond));
+    std::vector<std::uint16_t> ports = site.agentAdminPorts;
+    ports.insert(ports.end(), site.entryAdminPorts.begin(), site.entryAdminPorts.end());
+    std::vector<std::uint64_t> seen(ports.size(), 0);
+    for (std::size_t change = 1; change <= 5; ++change) {
+        const std::uint64_t version = site.writeDocument(change);
+        const Micros start = monotonicNow();
+        bool everywhere = false;
+        while (!everywhere && monotonicNow() - start < 2 * limit) {
+            everywhere = true;
+            const std::vector<std::uint64_t> versions = site.versions(ports);
+            for (std::size_t i = 0; i < ports.size(); ++i) {
+                BOOST_TEST(versions[i] >= seen[i]);
+                seen[i] = versions[i];
+                everywhere = everywhere && versions[i] >= version;
+            }
+        }
+        const Micros elapsed = monotonicNow() - start;
+        BOOST_TEST_MESSAGE("configuration processes=" << ports.size() << " everywhere_us=" << elapsed);
+        BOOST_TEST(elapsed < limit);
+        // The new account may call at once.
+        Call call(site.callerPorts[change % site.callerPorts.size()], { .body = completionBody(false), .key = "key-" + std::to_string(change - 1) });
+        BOOST_TEST(runUntil([&] { return call.done; }));
+        BOOST_TEST(call.status == 200);
+    }
+}
--- a/packages/entry/tests/programs.cpp
+++ b/packages/entry/tests/programs.cpp
@@ -238,7 +238,7 @@
 void Site::startEngine(std::size_t number)
 {
     std::vector<std::string> command{ program("carobhall-standin"), "engine", "--port", std::to_string(enginePorts[number]), "--model", "needle",
-                                      "--weights-version", "v1" };
+                                      "--weights-version",          "v1" };
     command.insert(command.end(), options.engineArguments.begin(), options.engineArguments.end());
     engines[number] = std::make_unique<Program>(command, directory / ("engine-" + std::to_string(number) + ".log"));
 }
@@ -299,20 +299,29 @@
     return parseJson(call.body);
 }
 
-std::uint64_t Site::agentCounter(std::size_t number, const std::string &name)
+std::vector<std::uint64_t> Site::versions(const std::vector<std::uint16_t> &adminPorts)
 {
-    Call call(agentAdminPorts[number], { .method = "GET", .path = "/metrics" });
-    if (!runUntil([&] { return call.done; }, 2 * MicrosPerSecond) || call.status != 200) {
-        return 0;
+    std::vector<std::unique_ptr<Call>> calls;
+    for (const std::uint16_t port : adminPorts) {
+        calls.push_back(std::make_unique<Call>(port, Call::Options{ .method = "GET", .path = "/dump" }));
     }
-    std::istringstream lines(call.body);
-    std::uint64_t sum = 0;
-    for (std::string line; std::getline(lines, line);) {
-        if (line.starts_with(name)) {
-            sum += static_cast<std::uint64_t>(std::stod(line.substr(line.rfind(' ') + 1)));
-        }
+    runUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return call->done; }); });
+    std::vector<std::uint64_t> found;
+    for (const auto &call : calls) {
+        const auto state = parseJson(call->body);
+        found.push_back(state && state->isObject() ? (*state)["config_version"].asUInt64() : 0);
+    }
+    return found;
+}
+
+std::size_t Site::logCount(const std::string &file, const std::string &text) const
+{
+    std::ifstream log(directory / file);
+    std::size_t count = 0;
+    for (std::string line; std::getline(log, line);) {
+        count += line.find(text) != std::string::npos ? 1 : 0;
     }
-    return sum;
+    return count;
 }
 
 std::size_t Site::usableAgents(std::size_t entry)
--- a/packages/entry/tests/programs.h
+++ b/packages/entry/tests/programs.h
@@ -58,7 +58,10 @@
     std::uint64_t writeDocument(std::size_t accounts);
     /// GET /dump of a process.
     [[nodiscard]] std::optional<Json::Value> dump(std::uint16_t adminPort);
-    [[nodiscard]] std::uint64_t agentCounter(std::size_t number, const std::string &name);
+    /// The document's version in effect in each process, by its admin port; 0 for one that does not answer. Asks all at once.
+    [[nodiscard]] std::vector<std::uint64_t> versions(const std::vector<std::uint16_t> &adminPorts);
+    /// Lines with \p text in a process's log file.
+    [[nodiscard]] std::size_t logCount(const std::string &file, const std::string &text) const;
     /// Every entry process serves and knows \p agents usable agents.
     [[nodiscard]] bool waitReady(std::size_t agents, Micros limit = 10 * MicrosPerSecond);
     [[nodiscard]] std::size_t usableAgents(std::size_t entry);
--- a/packages/runtime/include/carobhall/fleet.h
+++ b/packages/runtime/include/carobhall/fleet.h
@@ -75,8 +75,6 @@
     void reportFailure(Incarnation incarnation);
     /// Spreads a fact.
     void publish(const Fact &fact);
-    /// What the others have published of a request.
-    [[nodiscard]] Suspicion suspicion(std::uint64_t fingerprint) const;
     /// Announces that this process takes no new work.
     void beginLeaving();
 
--- a/packages/runtime/src/fleet.cpp
+++ b/packages/runtime/src/fleet.cpp
@@ -435,15 +435,6 @@
     }
 }
 
-Suspicion Fleet::suspicion(std::uint64_t fingerprint) const
-{
-    if (!impl_->started) {
-        return Suspicion::None;
-    }
-    const auto fact = impl_->udp->membership().fact(FactKind::SuspectFingerprint, fingerprint, monotonicNow());
-    return fact ? static_cast<Suspicion>(std::min<std::uint64_t>(fact->value, static_cast<std::uint64_t>(Suspicion::Condemned))) : Suspicion::None;
-}
-
 void Fleet::beginLeaving()
 {
     if (impl_->started) {
--- a/packages/agent/src/suspect_news.cpp
+++ b/packages/runtime/src/suspect_news.cpp
@@ -1,4 +1,4 @@
-#include "suspect_news.h"
+#include "carobhall/suspect_news.h"
 
 #include <algorithm>
 
--- a/packages/state/src/config_relay.cpp
+++ b/packages/state/src/config_relay.cpp
@@ -293,7 +293,8 @@
         spread(peer);
     }
     const bool current = data.version <= holder.held().version;
-    if (standing != Standing::Serving && current && confirmers.contains(peer)) {
+    // After a start every answer is newer than the process.
+    if (standing != Standing::Serving && current && (standing == Standing::Starting || confirmers.contains(peer))) {
         serveOn(now);
     }
 }
@@ -332,6 +333,9 @@
     if (now < nextConfirm) {
         return;
     }
+    if (inZone.empty() && elsewhere.empty()) {
+        return; // The peers become known a few milliseconds after a start.
+    }
     nextConfirm = now + options.pullTimeout;
     for (std::size_t i = 0; i < ConfirmFanOut; ++i) {
         const std::optional<std::string> peer = randomMember();
