Configuration deltas and a lenient parse for documents of newer programs

A process of an older version refuses a document with a field that it does not know and stays on the old one.

Change: ConfigData gains base, keepFront and keepBack: the text between what the puller's document and the new one share at both ends. ConfigPull gains takesDelta, so that programs without deltas keep getting whole texts during an upgrade. The digest decides; a delta that does not fit is followed by a pull of the whole text. A process keeps its last 8 documents, up to 4 MiB. parseDocument takes UnknownFields::Ignored, which reports unknown fields as warnings; the default stays strict.

Ruled out: a diff with several hunks, because a change of one place is the common case and the whole text remains as fallback; compression, because a change costs about 2.2 kB of offers and pulls either way.

--- a/packages/config/include/carobhall/document.h
+++ b/packages/config/include/carobhall/document.h
@@ -121,10 +121,25 @@
 /// "file:line: path: expected". Thread-safe.
 [[nodiscard]] std::string toString(const DocumentError &error);
 
+/// What to do about fields that this program does not know.
+enum class UnknownFields : std::uint8_t {
+    Refused, ///< Errors, for documents that operators are about to apply: a misspelt field must not be ignored.
+    Ignored, ///< Warnings, for documents that a newer program has accepted: the known fields have to take effect here too.
+};
+
+template<>
+struct EnumNames<UnknownFields> {
+    static constexpr std::array rows{
+        EnumName{ UnknownFields::Refused, "refused" },
+        EnumName{ UnknownFields::Ignored, "ignored" },
+    };
+};
+
 /// The document, or at least one error.
 struct ParsedDocument {
     EnvironmentDocument document;
     std::vector<DocumentError> errors;
+    std::vector<DocumentError> warnings; ///< Unknown fields that were ignored.
 
     [[nodiscard]] bool ok() const
     {
@@ -133,8 +148,8 @@
 };
 
 /// Parses and checks \p text; \p file is named in errors. Unknown fields, duplicate names, dangling references and
-/// impossible sums are errors. Thread-safe.
-[[nodiscard]] ParsedDocument parseDocument(std::string_view text, std::string_view file);
+/// impossible sums are errors; \p unknown may turn the first of these into warnings. Thread-safe.
+[[nodiscard]] ParsedDocument parseDocument(std::string_view text, std::string_view file, UnknownFields unknown = UnknownFields::Refused);
 
 /// Hexadecimal BLAKE2b-256 digest of a document's bytes or of a bearer key. Thread-safe.
 [[nodiscard]] std::string digestOf(std::string_view bytes);
--- a/packages/config/src/document.cpp
+++ b/packages/config/src/document.cpp
@@ -205,10 +205,10 @@
 
 } // namespace
 
-ParsedDocument parseDocument(std::string_view text, std::string_view file)
+ParsedDocument parseDocument(std::string_view text, std::string_view file, UnknownFields unknown)
 {
     ParsedDocument parsed;
-    JsonSource source(text, file);
+    JsonSource source(text, file, unknown);
     if (source.parse()) {
         EnvironmentDocument &document = parsed.document;
         Names names;
@@ -224,6 +224,7 @@
         root.finish();
     }
     parsed.errors = std::move(source.errors());
+    parsed.warnings = std::move(source.warnings());
     return parsed;
 }
 
--- a/packages/config/src/json_reader.h
+++ b/packages/config/src/json_reader.h
@@ -63,7 +63,7 @@
 class JsonSource
 {
 public:
-    JsonSource(std::string_view text, std::string_view file);
+    JsonSource(std::string_view text, std::string_view file, UnknownFields unknown = UnknownFields::Refused);
 
     /// Parses the text. Returns false, with an error, when it is not JSON or its root is not an object.
     bool parse();
@@ -74,6 +74,8 @@
 
     /// Adds an error about \p path, at the line of \p value.
     void fail(const Json::Value &value, const std::string &path, std::string expected);
+    /// Adds an error or a warning about the unknown field at \p path.
+    void reportUnknown(const Json::Value &value, const std::string &path, std::string expected);
     /// \p value, or the value that the text of an override stands for when a field is not a string.
     [[nodiscard]] Json::Value converted(const Json::Value &value, const std::string &path) const;
 
@@ -81,15 +83,22 @@
     {
         return errors_;
     }
+    [[nodiscard]] std::vector<DocumentError> &warnings()
+    {
+        return warnings_;
+    }
 
 private:
+    void add(std::vector<DocumentError> &list, const Json::Value &value, const std::string &path, std::string expected);
     [[nodiscard]] int lineAt(std::ptrdiff_t offset) const;
 
     std::string_view text_;
     std::string file_;
+    UnknownFields unknown_;
     Json::Value root_;
     std::map<std::string, std::string> overrideSources_; ///< Path to the option or variable that set it.
     std::vector<DocumentError> errors_;
+    std::vector<DocumentError> warnings_;
 };
 
 // 3. ObjectReader ---------------------------------------------------------------------------------
--- a/packages/config/tests/config_test.cpp
+++ b/packages/config/tests/config_test.cpp
@@ -237,3 +237,17 @@
     BOOST_TEST(loaded.errors[0].path == "process.wireAddress");
     BOOST_TEST(loaded.errors[1].path == "maxBodyBytes");
 }
+
+// Guards against a process that stays on an old document because a newer program has added fields, and against a misspelt field
+// that check and apply let through.
+BOOST_AUTO_TEST_CASE(unknownFieldsOfANewerProgramAreWarnings)
+{
+    const std::string newer = changed("\"name\"", "\"quota\": { \"daily\": 5 }, \"name\"");
+    BOOST_TEST(!parseDocument(newer, "guild.json").ok());
+    const ParsedDocument lenient = parseDocument(newer, "guild.json", UnknownFields::Ignored);
+    BOOST_REQUIRE(lenient.ok());
+    BOOST_REQUIRE(lenient.warnings.size() == 1U);
+    BOOST_TEST(lenient.warnings.front().path == "quota");
+    BOOST_TEST(lenient.document.accounts.size() == parseDocument(readExample("guild.json"), "guild.json").document.accounts.size());
+    BOOST_TEST(!parseDocument(changed("\"paying\"", "\"payed\""), "guild.json", UnknownFields::Ignored).ok());
+}
--- a/packages/state/include/carobhall/configuration.h
+++ b/packages/state/include/carobhall/configuration.h
@@ -12,7 +12,9 @@
 // The version is the platform's version of the document's object, which grows with each write. In each availability zone the
 // two processes that rank highest by rendezvous hashing watch the platform. A process that learns a version tells its
 // neighbours, four in its zone and one outside; these pull the document from it and go on. Each neighbour relation is used in
-// both directions, which keeps the graph connected when processes fail.
+// both directions, which keeps the graph connected when processes fail. A pull names the version that the puller holds, and the
+// answer leaves out the beginning and the end that the two documents share. The digest decides whether the result is right; if
+// it is not, the whole text is pulled.
 //
 // Index
 //   1. Values on the platform
@@ -87,12 +89,25 @@
     [[nodiscard]] const HeldDocument &inEffect() const; ///< The newest usable.
     [[nodiscard]] bool isUsable() const;                ///< Whether these are the same.
 
+    /// The text that was held at \p version, when it is one of the latest; nothing otherwise.
+    [[nodiscard]] std::shared_ptr<const std::string> textOf(std::uint64_t version) const;
+
 private:
+    void remember();
+
+    std::deque<HeldDocument> earlier_; ///< Oldest first.
     HolderOptions options_;
     HeldDocument held_;
     HeldDocument inEffect_;
 };
 
+/// The message that gives \p document to a process that holds \p base at \p baseVersion; the whole text without a \p base.
+/// Thread-safe.
+[[nodiscard]] ConfigData deltaOf(const HeldDocument &document, std::uint64_t baseVersion, const std::string *base);
+/// The document in \p data for a process that holds \p base at \p baseVersion; nothing when the delta is from another version.
+/// The digest is not checked. Thread-safe.
+[[nodiscard]] std::optional<std::string> applyDelta(const ConfigData &data, std::uint64_t baseVersion, const std::string *base);
+
 // 3. ConfigRelay ----------------------------------------------------------------------------------
 
 struct RelayMember {
@@ -123,6 +138,8 @@
     std::uint64_t offersSent = 0;
     std::uint64_t pullsSent = 0;
     std::uint64_t documentsSent = 0;
+    std::uint64_t deltasSent = 0;      ///< Of these, without what the puller holds already.
+    std::uint64_t deltasUnfit = 0;     ///< Received deltas that did not give the document, so that the whole text was pulled.
     std::uint64_t pullsUnanswered = 0; ///< For lack of budget.
     std::uint64_t pauses = 0;
     std::uint64_t unconfirmed = 0; ///< Pauses after which no peer confirmed in time.
--- a/packages/state/src/config_holder.cpp
+++ b/packages/state/src/config_holder.cpp
@@ -1,10 +1,22 @@
 #include "carobhall/configuration.h"
 
+#include <algorithm>
 #include <sodium.h>
 
 namespace Carobhall
 {
 
+namespace
+{
+
+/// Earlier documents that a process keeps for deltas. A process that missed more versions pulls the whole text.
+constexpr std::size_t EarlierDocuments = 8;
+
+/// Bytes of these, out of 64 MB that a process may take; documents of one megabyte leave room for three.
+constexpr std::size_t EarlierBytes = 4 * PlatformValueLimit;
+
+} // namespace
+
 std::string documentDigest(std::string_view text)
 {
     std::array<unsigned char, crypto_generichash_BYTES> digest{};
@@ -57,6 +69,7 @@
     if (version <= held_.version || documentDigest(text) != digest) {
         return false;
     }
+    remember();
     held_ = { .version = version, .digest = digest, .text = std::make_shared<const std::string>(std::move(text)) };
     const DocumentFitness fitness = options_.check ? options_.check(*held_.text) : DocumentFitness::Usable;
     if (fitness != DocumentFitness::Usable) {
@@ -78,6 +91,7 @@
         return false;
     }
     const bool usable = isUsable();
+    remember();
     held_.version = version;
     if (usable) {
         inEffect_ = held_;
@@ -85,6 +99,65 @@
     return true;
 }
 
+void ConfigHolder::remember()
+{
+    if (held_.version == 0) {
+        return;
+    }
+    earlier_.push_back(held_);
+    std::size_t bytes = 0;
+    for (const HeldDocument &document : earlier_) {
+        bytes += document.text->size();
+    }
+    while (earlier_.size() > EarlierDocuments || (bytes > EarlierBytes && !earlier_.empty())) {
+        bytes -= earlier_.front().text->size();
+        earlier_.pop_front();
+    }
+}
+
+std::shared_ptr<const std::string> ConfigHolder::textOf(std::uint64_t version) const
+{
+    if (version == held_.version) {
+        return held_.text;
+    }
+    const auto found = std::find_if(earlier_.begin(), earlier_.end(), [&](const HeldDocument &document) { return document.version == version; });
+    return found == earlier_.end() ? nullptr : found->text;
+}
+
+ConfigData deltaOf(const HeldDocument &document, std::uint64_t baseVersion, const std::string *base)
+{
+    ConfigData data{ .version = document.version, .digest = document.digest, .text = {} };
+    if (base == nullptr || baseVersion == 0) {
+        data.text = *document.text;
+        return data;
+    }
+    const std::string_view from = *base;
+    const std::string_view to = *document.text;
+    const std::size_t shorter = std::min(from.size(), to.size());
+    const auto shorterEnd = from.begin() + static_cast<std::ptrdiff_t>(shorter);
+    const auto front = static_cast<std::size_t>(std::mismatch(from.begin(), shorterEnd, to.begin()).first - from.begin());
+    // What the front has taken is not taken again by the back.
+    const auto backLimit = from.rbegin() + static_cast<std::ptrdiff_t>(shorter - front);
+    const auto back = static_cast<std::size_t>(std::mismatch(from.rbegin(), backLimit, to.rbegin()).first - from.rbegin());
+    data.text = to.substr(front, to.size() - front - back);
+    data.base = baseVersion;
+    data.keepFront = front;
+    data.keepBack = back;
+    return data;
+}
+
+std::optional<std::string> applyDelta(const ConfigData &data, std::uint64_t baseVersion, const std::string *base)
+{
+    if (data.base == 0) {
+        return data.text;
+    }
+    const bool fits = base != nullptr && data.base == baseVersion && data.keepFront <= base->size() && data.keepBack <= base->size() - data.keepFront;
+    if (!fits) {
+        return std::nullopt;
+    }
+    return base->substr(0, data.keepFront) + data.text + base->substr(base->size() - data.keepBack);
+}
+
 const HeldDocument &ConfigHolder::held() const
 {
     return held_;
--- a/packages/state/src/config_relay.cpp
+++ b/packages/state/src/config_relay.cpp
@@ -60,7 +60,8 @@
     void onOffer(const std::string &peer, const ConfigOffer &offer, Micros now);
     void onPull(const std::string &peer, const ConfigPull &pull, Micros now);
     void onData(const std::string &peer, const ConfigData &data, Micros now);
-    void answerPull(const std::string &peer, std::uint64_t have, Micros now);
+    void answerPull(const std::string &peer, const ConfigPull &pull, Micros now);
+    bool acceptData(const std::string &peer, const ConfigData &data, Micros now);
     void heardOf(const std::string &peer, std::uint64_t version, Micros now);
     void spread(const std::string &except);
     void offerTo(const std::string &peer);
@@ -89,13 +90,14 @@
     std::string pulling;                          ///< The peer that was asked, while it has not answered.
     Micros pullDeadline = 0;
     Micros pullAt = 0;
+    bool pullWhole = false; ///< A delta did not give the document; the next pull asks for the whole text.
     Micros nextOffer = 0;
 
     Standing standing = Standing::Starting;
     Micros confirmDeadline = 0;
     Micros nextConfirm = 0;
-    std::set<std::string> confirmers;              ///< Peers that were asked since the pause.
-    std::map<std::string, std::uint64_t> deferred; ///< Pulls that wait until this process has confirmed its own version.
+    std::set<std::string> confirmers;           ///< Peers that were asked since the pause.
+    std::map<std::string, ConfigPull> deferred; ///< Pulls that wait until this process has confirmed its own version.
     Micros lastTick = 0;
 };
 
@@ -253,33 +255,59 @@
     pulling = *peer;
     pullDeadline = now + options.pullTimeout + jitter(options.pullTimeout / 2);
     ++stats.pullsSent;
-    options.send(pulling, ConfigPull{ .have = holder.held().version });
+    options.send(pulling, ConfigPull{ .have = holder.held().version, .takesDelta = !pullWhole });
 }
 
 void ConfigRelay::Impl::onPull(const std::string &peer, const ConfigPull &pull, Micros now)
 {
     if (standing == Standing::Confirming) {
-        deferred[peer] = pull.have;
+        deferred[peer] = pull;
         return;
     }
-    answerPull(peer, pull.have, now);
+    answerPull(peer, pull, now);
 }
 
-void ConfigRelay::Impl::answerPull(const std::string &peer, std::uint64_t have, Micros now)
+void ConfigRelay::Impl::answerPull(const std::string &peer, const ConfigPull &pull, Micros now)
 {
     const HeldDocument &held = holder.held();
-    if (have >= held.version) {
+    if (pull.have >= held.version) {
         // Without a text this says that there is nothing newer here; only pulls are answered with it.
         options.send(peer, ConfigData{ .version = held.version, .digest = held.digest, .text = {} });
-        heardOf(peer, have, now);
+        heardOf(peer, pull.have, now);
         return;
     }
     if (!serves.take(now)) {
         ++stats.pullsUnanswered;
         return;
     }
+    const std::shared_ptr<const std::string> base = pull.takesDelta ? holder.textOf(pull.have) : nullptr;
+    ConfigData data = deltaOf(held, pull.have, base.get());
     ++stats.documentsSent;
-    options.send(peer, ConfigData{ .version = held.version, .digest = held.digest, .text = *held.text });
+    stats.deltasSent += data.base != 0 ? 1 : 0;
+    options.send(peer, std::move(data));
+}
+
+/// Takes the document in \p data. Returns whether it is newer than what was held.
+bool ConfigRelay::Impl::acceptData(const std::string &peer, const ConfigData &data, Micros now)
+{
+    const HeldDocument &held = holder.held();
+    const bool hasDocument = data.base != 0 || !data.text.empty();
+    if (!hasDocument || data.version <= held.version) {
+        return false;
+    }
+    std::optional<std::string> text = applyDelta(data, held.version, held.text.get());
+    if (text && holder.accept(data.version, data.digest, std::move(*text))) {
+        pullWhole = false;
+        return true;
+    }
+    if (data.base != 0) {
+        ++stats.deltasUnfit;
+        // A delta from a version that was held before says nothing about the one that is held now.
+        pullWhole = data.base == held.version;
+        sources[peer] = data.version;
+        pullAt = now;
+    }
+    return false;
 }
 
 void ConfigRelay::Impl::onData(const std::string &peer, const ConfigData &data, Micros now)
@@ -289,7 +317,7 @@
         sources.erase(peer);
         pullAt = sources.empty() ? now + jitter(options.pullTimeout) : now;
     }
-    if (!data.text.empty() && holder.accept(data.version, data.digest, data.text)) {
+    if (acceptData(peer, data, now)) {
         spread(peer);
     }
     const bool current = data.version <= holder.held().version;
@@ -340,7 +368,7 @@
             continue;
         }
         ++stats.pullsSent;
-        options.send(*peer, ConfigPull{ .have = holder.held().version });
+        options.send(*peer, ConfigPull{ .have = holder.held().version, .takesDelta = !pullWhole });
     }
 }
 
@@ -351,10 +379,10 @@
     }
     standing = Standing::Serving;
     confirmers.clear();
-    const std::map<std::string, std::uint64_t> pulls = std::move(deferred);
+    const std::map<std::string, ConfigPull> pulls = std::move(deferred);
     deferred.clear();
-    for (const auto &[peer, have] : pulls) {
-        answerPull(peer, have, now);
+    for (const auto &[peer, pull] : pulls) {
+        answerPull(peer, pull, now);
     }
 }
 
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -223,16 +223,20 @@
 /// "Send me your document if it is newer than this version."
 struct ConfigPull {
     std::uint64_t have = 0;
+    bool takesDelta = false; ///< The answer may leave out what the document of `have` shares with it. Older programs do not set it.
 
-    MSGPACK_DEFINE(have)
+    MSGPACK_DEFINE(have, takesDelta)
 };
 
 struct ConfigData {
     std::uint64_t version = 0;
     std::string digest;
-    std::string text; ///< The document, byte for byte.
+    std::string text;            ///< The document, byte for byte, or the part between what is kept of the base.
+    std::uint64_t base = 0;      ///< Version that the receiver holds and takes the rest from; 0: `text` is the whole document.
+    std::uint64_t keepFront = 0; ///< Bytes of the base's text before `text`.
+    std::uint64_t keepBack = 0;  ///< Bytes of the base's text after `text`.
 
-    MSGPACK_DEFINE(version, digest, text)
+    MSGPACK_DEFINE(version, digest, text, base, keepFront, keepBack)
 };
 
 // 4. Account limits -------------------------------------------------------------------------------
