--- a/packages/standins/src/engine_server.cpp
+++ b/packages/standins/src/engine_server.cpp
@@ -24,6 +24,7 @@
     bool chat = false;
     bool stream = false;
     std::size_t promptTokens = 0;
+    std::size_t promptPieces = 0;
     std::size_t cachedPieces = 0;
     std::uint64_t generated = 0;
 };
@@ -209,7 +210,8 @@
                .text = {},
                .chat = chat,
                .stream = body["stream"].isBool() && body["stream"].asBool(),
-               .promptTokens = (prompt->size() + TokenBytes - 1) / TokenBytes };
+               .promptTokens = (prompt->size() + TokenBytes - 1) / TokenBytes,
+               .promptPieces = prompt->size() / PieceBytes };
     const std::optional<EngineHandle> handle = model_.submit(monotonicNow(), std::move(request));
     if (!handle) {
         return exchange->reply(503, errorBody("overloaded", "too many requests are waiting"));
@@ -465,6 +467,13 @@
 
 void EngineServer::sendEnd(Call &call, const EngineOutput &output)
 {
+    // The load tool and the demo read the cached share here where the answer does not carry it.
+    logEvent(LogLevel::Info, "answered",
+             { { "request", call.id },
+               { "prompt_pieces", call.promptPieces },
+               { "cached_pieces", call.cachedPieces },
+               { "tokens", call.generated },
+               { "finish_reason", output.text } });
     if (call.stream) {
         Json::Value chunk = answer(call, call.chat ? "chat.completion.chunk" : "text_completion");
         if (call.chat) {
