Add the operators' commands

Cause: documents could be checked and put into effect only by hand, and the parser's message names a command 'carobhall digest' that did not exist.

Change: packages/cli with check, diff, digest, apply, promote, status and dump; carobhall calls it for everything but serve. apply and promote write on the version that they read, through PlatformClient::update(), so that a lost answer is read back and one of two racing operators is told that the other came first. Exit codes tell conflict (4), unavailable (5) and unknown outcome (6) apart. promote copies the text of the object and is proved by digest. Sizes are counted in the JSON form, which is longer than the file. The demo applies its document and asks for the status of all processes.

Ruled out: a retry of a lost race on the newer version, which would undo the other operator's change; a blocking libsoup session, which cannot be tested against a stand-in on the same thread.

Each of these changes to the code made a test fail: call() instead of update(), retry on conflict, promoted bytes changed, no expected version, raw size, no time limit of a read, no digest check, unknown outcome reported as failure, lists compared by position.

--- /dev/null
+++ b/packages/cli/src/platform_session.cpp
@@ -0,0 +1,129 @@
+#include "platform_session.h"
+
+#include "carobhall/configuration.h"
+#include "carobhall/soup_transport.h"
+
+#include <glib.h>
+
+namespace Carobhall::Cli
+{
+
+namespace
+{
+
+constexpr guint TickMillis = 10;
+constexpr Micros ReadRetryDelay = 100 * MicrosPerMilli;
+
+/// Drives the client's timers on the thread-default context.
+class TickSource
+{
+public:
+    TickSource(PlatformClient &client, GMainContext *context)
+        : source_(g_timeout_source_new(TickMillis))
+    {
+        g_source_set_callback(
+            source_,
+            [](gpointer data) -> gboolean {
+                static_cast<PlatformClient *>(data)->tick(monotonicNow());
+                return G_SOURCE_CONTINUE;
+            },
+            &client, nullptr);
+        g_source_attach(source_, context);
+    }
+    ~TickSource()
+    {
+        g_source_destroy(source_);
+        g_source_unref(source_);
+    }
+    TickSource(const TickSource &) = delete;
+    TickSource &operator=(const TickSource &) = delete;
+
+private:
+    GSource *source_;
+};
+
+bool mayPass(const std::error_code &error)
+{
+    return error == Errc::PlatformUnavailable || error == Errc::Timeout || error == Errc::ConnectionLost || error == Errc::Overloaded;
+}
+
+} // namespace
+
+struct PlatformSession::Impl {
+    explicit Impl(PlatformSessionOptions sessionOptions)
+        : options(std::move(sessionOptions))
+        , context(g_main_context_ref_thread_default())
+        , transport({ .address = options.address })
+        , client(transport, { .seed = drawIncarnation(), .callTimeout = std::min(options.timeout, 2 * MicrosPerSecond) })
+        , ticks(client, context)
+    {
+    }
+    ~Impl()
+    {
+        g_main_context_unref(context);
+    }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    template<typename Start>
+    PlatformReply wait(Start start)
+    {
+        const auto reply = std::make_shared<std::optional<PlatformReply>>();
+        start([reply](PlatformReply given, Micros) { *reply = std::move(given); });
+        while (!*reply) {
+            g_main_context_iteration(context, TRUE);
+        }
+        return std::move(**reply);
+    }
+    void pause(Micros duration)
+    {
+        const Micros until = monotonicNow() + duration;
+        while (monotonicNow() < until) {
+            g_main_context_iteration(context, TRUE);
+        }
+    }
+
+    PlatformSessionOptions options;
+    GMainContext *context;
+    SoupTransport transport;
+    PlatformClient client;
+    TickSource ticks;
+};
+
+PlatformSession::PlatformSession(PlatformSessionOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+PlatformSession::~PlatformSession() = default;
+
+EnvironmentObject PlatformSession::read(const std::string &environment)
+{
+    const Micros deadline = monotonicNow() + impl_->options.timeout;
+    PlatformReply reply;
+    while (true) {
+        reply = impl_->wait([&](ReplyHandler done) { impl_->client.call(getCall(EnvironmentKind, environment), monotonicNow(), std::move(done)); });
+        if (!mayPass(reply.error) || monotonicNow() + ReadRetryDelay >= deadline) {
+            break;
+        }
+        impl_->pause(ReadRetryDelay);
+    }
+    if (reply.error == Errc::NotFound) {
+        return { .error = {}, .object = { .kind = EnvironmentKind, .name = environment, .uid = {}, .spec = {} }, .text = {} };
+    }
+    if (reply.error) {
+        return { .error = reply.error, .object = {}, .text = {} };
+    }
+    std::optional<std::string> text = decodeEnvironment(reply.object.spec);
+    return { .error = text ? std::error_code() : make_error_code(Errc::InvalidDocument), .object = std::move(reply.object), .text = text.value_or("") };
+}
+
+PlatformReply PlatformSession::write(const PlatformObject &base, const std::string &text)
+{
+    return impl_->wait([&](ReplyHandler done) {
+        const Micros now = monotonicNow();
+        impl_->client.update(base, encodeEnvironment(text), now, now + impl_->options.timeout, std::move(done));
+    });
+}
+
+} // namespace Carobhall::Cli
--- a/packages/entry/app/main.cpp
+++ b/packages/entry/app/main.cpp
@@ -1,9 +1,8 @@
 // carobhall: the program of the entry process and of the operators' commands.
 
+#include "carobhall/cli.h"
 #include "carobhall/entry.h"
 
-#include <iostream>
-
 using namespace Carobhall;
 
 namespace
@@ -26,29 +25,12 @@
     return static_cast<int>(exitCode);
 }
 
-struct Command {
-    std::string_view name;
-    int (*run)(int argc, char **argv); ///< Gets the arguments from the command's name on.
-};
-
-constexpr std::array Commands{
-    Command{ "serve", &serve },
-};
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    const std::string_view wanted = argc > 1 ? std::string_view(argv[1]) : std::string_view();
-    for (const Command &command : Commands) {
-        if (command.name == wanted) {
-            return command.run(argc - 1, argv + 1);
-        }
-    }
-    std::cerr << "usage: carobhall COMMAND [OPTIONS]\ncommands:";
-    for (const Command &command : Commands) {
-        std::cerr << ' ' << command.name;
+    if (argc > 1 && std::string_view(argv[1]) == "serve") {
+        return serve(argc - 1, argv + 1);
     }
-    std::cerr << '\n';
-    return static_cast<int>(ExitCode::InvalidSettings);
+    return runCli(argc, argv);
 }
