--- a/packages/entry/src/chooser.cpp
+++ b/packages/entry/src/chooser.cpp
@@ -18,7 +18,7 @@
 
 /// Round trip between two zones of one region, as design.md section 1.7 states it.
 constexpr Micros ZoneRoundTrip = 2 * MicrosPerMilli;
-constexpr std::int64_t BitsPerByte = 8;
+constexpr double BitsPerByte = 8.0;
 /// A keyed call asks this many agents, in the order of its key's hash.
 constexpr std::size_t KeyedProbes = 3;
 
@@ -32,7 +32,7 @@
     for (const LinkSpec &link : document.links) {
         if (from != to && ((link.from == from && link.to == to) || (link.from == to && link.to == from))) {
             return { .roundTrip = 2 * link.latency,
-                     .bytesPerSecond = static_cast<double>(link.bitsPerSecond / BitsPerByte),
+                     .bytesPerSecond = static_cast<double>(link.bitsPerSecond) / BitsPerByte,
                      .pricePerGigabyte = link.pricePerGigabyte };
         }
     }
--- a/packages/entry/src/http_front.cpp
+++ b/packages/entry/src/http_front.cpp
@@ -33,9 +33,9 @@
 } // namespace
 
 HttpFront::HttpFront(HttpFrontOptions options)
-    : options_(options)
+    : options_(std::move(options))
     , server_(soup_server_new("server-header", "carobhall", "raw-paths", TRUE, nullptr))
-    , accounts_(std::make_unique<AccountTable>(options.document.current()->document))
+    , accounts_(std::make_unique<AccountTable>(options_.document.current()->document))
 {
     options_.document.onReplaced([this](const VersionedDocument &document) { accounts_ = std::make_unique<AccountTable>(document.document); });
     g_signal_connect(server_.get(), "request-started", G_CALLBACK(&HttpFront::onStarted), this);
--- a/packages/entry/tests/programs.cpp
+++ b/packages/entry/tests/programs.cpp
@@ -63,6 +63,7 @@
 Program::Program(const std::vector<std::string> &command, const std::filesystem::path &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
@@ -302,11 +303,13 @@
 std::vector<std::uint64_t> Site::versions(const std::vector<std::uint16_t> &adminPorts)
 {
     std::vector<std::unique_ptr<Call>> calls;
+    calls.reserve(adminPorts.size());
     for (const std::uint16_t port : adminPorts) {
         calls.push_back(std::make_unique<Call>(port, Call::Options{ .method = "GET", .path = "/dump" }));
     }
     runUntil([&] { return std::all_of(calls.begin(), calls.end(), [](const auto &call) { return call->done; }); });
     std::vector<std::uint64_t> found;
+    found.reserve(calls.size());
     for (const auto &call : calls) {
         const auto state = parseJson(call->body);
         found.push_back(state && state->isObject() ? (*state)["config_version"].asUInt64() : 0);
