Routing: offer of a flight, bias towards homes, comparison with paired workloads; membership: share of seed pings

Cause: a probe reply that counted a prefix under computation as held without its wait drew every request to one engine; seeds of a fleet of 1,650 members were pinged 18 times a second each.

Change: SingleFlight::offer() weighs the wait against the computation; PolicyOptions::homeBias (0.1); in fleets over 64 members each pings seeds less often.

--- a/packages/membership/src/probing.cpp
+++ b/packages/membership/src/probing.cpp
@@ -14,6 +14,9 @@
 constexpr Micros LonelySeedPeriod = 100 * MicrosPerMilli;
 // One seed is pinged this often later on, so that halves of a fleet that have forgotten each other meet again.
 constexpr Micros SeedPeriod = 30 * MicrosPerSecond;
+// Members that share this work: in a larger fleet each pings seeds less often. Without it, 1,650 members sent 18 pings a second
+// to each of three seeds.
+constexpr std::size_t SeedSharers = 64;
 constexpr std::size_t SeedsAtOnce = 5;
 // Members of a silent region that are pinged to tell the loss of one member from that of the link.
 constexpr std::size_t RegionProbes = 3;
@@ -28,11 +31,14 @@
 
 void Membership::Impl::contactSeeds()
 {
-    if (now < nextSeedContact || options.seeds.empty()) {
+    const bool lonely = table.aliveCount() == 1;
+    // A wait that was set in company does not hold for a process that has lost everybody.
+    const bool overdue = lonely && nextSeedContact - now > 2 * LonelySeedPeriod;
+    if ((now < nextSeedContact && !overdue) || options.seeds.empty()) {
         return;
     }
-    const bool lonely = table.aliveCount() == 1;
-    const Micros wait = lonely ? LonelySeedPeriod : SeedPeriod;
+    const auto sharing = static_cast<Micros>(std::max<std::size_t>(table.aliveCount() / SeedSharers, 1));
+    const Micros wait = lonely ? LonelySeedPeriod : SeedPeriod * sharing;
     // Spread over a quarter, so that processes that started together do not ask together.
     nextSeedContact = now + wait + static_cast<Micros>(random() % static_cast<std::uint64_t>(wait / 4));
     const std::size_t count = std::min(lonely ? SeedsAtOnce : 1, options.seeds.size());
--- a/packages/routing/include/carobhall/routing.h
+++ b/packages/routing/include/carobhall/routing.h
@@ -8,7 +8,9 @@
 // An agent keeps one CacheIndex and one SingleFlight, and answers probes:
 //
 //     index.apply(incarnation, {.sequence = 7, .stored = true, .hashes = hashes}, now);
-//     reply.heldPieces = std::max(index.heldPieces(probe.samples), flight.pendingPieces(probe.samples, now));
+//     SharedWork shared = flights.offer(probe.samples, index.heldPieces(probe.samples), prefillPerPiece, now);
+//     reply.heldPieces = shared.pieces;                              // held, or soon computed by a request before this one
+//     reply.expectedWait = std::max(untilEngineIsFree, shared.wait) + queuedWork;  // followers of a flight queue behind it
 //
 // An entry process keeps one Router for all routes:
 //
@@ -220,6 +222,12 @@
 
 // 3. Single-flight --------------------------------------------------------------------------------
 
+/// What a request finds when it is started after `wait`.
+struct SharedWork {
+    std::uint32_t pieces = 0;
+    Micros wait = 0;
+};
+
 /// Prefixes that are being computed, so that concurrent misses of one prefix compute it once.
 ///
 /// An agent begins a flight when it hands a request to its engine and ends it at the first token. A request whose prompt
@@ -247,6 +255,10 @@
     /// The remaining time to the flight's expected end, at most to its limit.
     [[nodiscard]] Micros waitFor(std::span<const PrefixSample> samples, std::uint32_t heldPieces, Micros now) const;
 
+    /// Whether to wait for a flight: when the pieces that it adds to \p heldPieces cost more to compute than the wait.
+    /// Otherwise the result is \p heldPieces and no wait. \p prefillPerPiece in microseconds.
+    [[nodiscard]] SharedWork offer(std::span<const PrefixSample> samples, std::uint32_t heldPieces, Micros prefillPerPiece, Micros now) const;
+
     [[nodiscard]] std::size_t size() const
     {
         return flights_.size();
@@ -511,6 +523,7 @@
     std::size_t memoryRows = 4096; ///< Deep prefixes whose last server is remembered.
     Micros memoryTtl = 30 * MicrosPerSecond;
     Micros remoteWait = 200 * MicrosPerMilli; ///< Wait in the own region from which another region is probed too.
+    double homeBias = 0.1; ///< Of the prefill that a server which is no home of the prefix would do anew; added to its cost.
     double tieBand = 0.02;                    ///< Candidates this close to the cheapest one are drawn at random.
     CostOptions cost{};
     HotPrefixes::Options hot{};
--- a/packages/routing/src/policies.cpp
+++ b/packages/routing/src/policies.cpp
@@ -227,20 +227,29 @@
 
 Choice ProbePolicy::choose(const RouteQuery &query, PolicyContext &context, const Plan &plan, std::span<const Quote> quotes)
 {
+    const PlacementKey key = placementKey(query.hashes, 0);
+    const auto homes = key.pieces > 0 ? order_.top(context.rows, localServers(context), key.hash, hot_.homes(key.hash, context.now)) : std::span<const ServerIndex>();
     Choice best;
+    Micros bestTotal = 0;
     std::size_t ties = 0;
     for (const Quote &quote : quotes) {
         if (!quote.accepting) {
             continue;
         }
         const Choice candidate = costed(query, context, quotes, quote);
-        const Micros total = candidate.cost.total();
-        const Micros band = best.server == NoServer ? 0 : static_cast<Micros>(options_.tieBand * static_cast<double>(best.cost.total()));
-        if (best.server == NoServer || total + band < best.cost.total()) {
+        Micros total = candidate.cost.total();
+        if (quote.heldPieces < key.pieces && std::find(homes.begin(), homes.end(), quote.server) == homes.end()) {
+            // Other entry processes look for the prefix at its homes, so a copy elsewhere is worth less.
+            total += static_cast<Micros>(options_.homeBias * static_cast<double>(candidate.cost.prefill));
+        }
+        const Micros band = best.server == NoServer ? 0 : static_cast<Micros>(options_.tieBand * static_cast<double>(bestTotal));
+        if (best.server == NoServer || total + band < bestTotal) {
             best = candidate;
+            bestTotal = total;
             ties = 1;
-        } else if (total <= best.cost.total() + band && candidate.heldPieces == best.heldPieces && context.random() % ++ties == 0) {
+        } else if (total <= bestTotal + band && candidate.heldPieces == best.heldPieces && context.random() % ++ties == 0) {
             best = candidate;
+            bestTotal = total;
         }
     }
     if (best.server == NoServer) {
--- a/packages/routing/src/shared_work.cpp
+++ b/packages/routing/src/shared_work.cpp
@@ -80,6 +80,17 @@
     return std::clamp<Micros>(shared.flight->expectedEnd - now, MicrosPerMilli, shared.flight->limit - now);
 }
 
+SharedWork SingleFlight::offer(std::span<const PrefixSample> samples, std::uint32_t heldPieces, Micros prefillPerPiece, Micros now) const
+{
+    const Shared shared = deepest(samples, now);
+    const Micros wait = waitFor(samples, heldPieces, now);
+    // A cold prompt that shares only its beginning with another one is computed at once.
+    if (wait == 0 || wait >= prefillPerPiece * static_cast<Micros>(shared.pieces - heldPieces)) {
+        return { .pieces = heldPieces, .wait = 0 };
+    }
+    return { .pieces = shared.pieces, .wait = wait };
+}
+
 // Hot prefixes ------------------------------------------------------------------------------------
 
 HotPrefixes::HotPrefixes()
--- a/packages/routing/tests/fleet_model.cpp
+++ b/packages/routing/tests/fleet_model.cpp
@@ -113,6 +113,7 @@
 Fleet::Fleet(FleetOptions options)
     : options_(options)
     , random_(options.seed)
+    , workload_(options.seed + 1'000)
 {
     for (std::size_t i = 0; i < options_.engines; ++i) {
         engines_.push_back(std::make_unique<Engine>(options_.cacheBlocks));
@@ -140,7 +141,7 @@
         entry->router->setServers(std::move(servers));
         entries_.push_back(std::move(entry));
     }
-    const auto fresh = [this](std::vector<PrefixHash> &into, std::size_t count) { std::generate_n(std::back_inserter(into), count, std::ref(random_)); };
+    const auto fresh = [this](std::vector<PrefixHash> &into, std::size_t count) { std::generate_n(std::back_inserter(into), count, std::ref(workload_)); };
     std::vector<std::vector<PrefixHash>> templates(std::max<std::size_t>(options_.dossiers / 20, 1));
     std::vector<PrefixHash> account;
     for (std::size_t i = 0; i < templates.size(); ++i) {
@@ -153,8 +154,8 @@
     }
     double sum = 0;
     for (std::size_t i = 0; i < options_.dossiers; ++i) {
-        dossiers_.push_back(templates[random_() % templates.size()]);
-        fresh(dossiers_.back(), 200 + random_() % 400);
+        dossiers_.push_back(templates[workload_() % templates.size()]);
+        fresh(dossiers_.back(), 200 + workload_() % 400);
         popularity_.push_back(i);
         cumulative_.push_back(sum += std::pow(static_cast<double>(i + 1), -options_.zipf));
     }
@@ -181,7 +182,7 @@
     later(0, [this] { arrive(); });
     later(0, [this] { report(); });
     if (options_.shift) {
-        later(2 * options_.phaseTime, [this] { std::shuffle(popularity_.begin(), popularity_.end(), random_); });
+        later(2 * options_.phaseTime, [this] { std::shuffle(popularity_.begin(), popularity_.end(), workload_); });
     }
     if (options_.crash) {
         later(3 * options_.phaseTime, [this] { crashEngine(0); });
@@ -203,24 +204,24 @@
         return;
     }
     route(makeRequest());
-    const double gap = std::exponential_distribution<>(options_.requestsPerSecond)(random_);
+    const double gap = std::exponential_distribution<>(options_.requestsPerSecond)(workload_);
     later(static_cast<Micros>(gap * static_cast<double>(MicrosPerSecond)), [this] { arrive(); });
 }
 
 Fleet::Handle Fleet::makeRequest()
 {
     auto request = std::make_shared<Request>();
-    request->isLong = std::uniform_real_distribution<>(0, 1)(random_) < options_.longShare;
-    const double drawn = std::uniform_real_distribution<>(0, cumulative_.back())(random_);
+    request->isLong = std::uniform_real_distribution<>(0, 1)(workload_) < options_.longShare;
+    const double drawn = std::uniform_real_distribution<>(0, cumulative_.back())(workload_);
     const auto rank = static_cast<std::size_t>(std::lower_bound(cumulative_.begin(), cumulative_.end(), drawn) - cumulative_.begin());
     if (request->isLong) {
         request->hashes = dossiers_[popularity_[rank]];
     }
-    const std::size_t tail = 4 + random_() % 16;
-    std::generate_n(std::back_inserter(request->hashes), tail, std::ref(random_));
+    const std::size_t tail = 4 + workload_() % 16;
+    std::generate_n(std::back_inserter(request->hashes), tail, std::ref(workload_));
     request->samples = sampleHashes(request->hashes);
     request->query = { .route = Route, .weightsVersion = {}, .adapter = {}, .promptBytes = request->hashes.size() * PieceBytes, .hashes = request->hashes };
-    request->entry = random_() % entries_.size();
+    request->entry = workload_() % entries_.size();
     request->arrived = now_;
     return request;
 }
@@ -306,19 +307,23 @@
 Quote Fleet::quote(std::size_t engine, const Request &request)
 {
     Engine &row = *engines_[engine];
-    Micros work = 0;
+    Micros computing = 0;
     for (const Handle &running : row.computing) {
-        work += std::max<Micros>(running->prefillEnd - now_, 0);
+        computing += std::max<Micros>(running->prefillEnd - now_, 0);
     }
+    Micros queued = 0;
     for (const Handle &waiting : row.queue) {
-        work += options_.prefillPerPiece * (static_cast<Micros>(waiting->hashes.size()) - waiting->held);
+        queued += options_.prefillPerPiece * (static_cast<Micros>(waiting->hashes.size()) - waiting->held);
     }
-    const std::uint32_t pending = options_.singleFlight ? row.flights.pendingPieces(request.samples, now_) : 0;
-    const std::uint32_t held = std::max(row.cache.held(std::span<const PrefixSample>(request.samples)), pending);
-    const bool laneFree = row.computing.size() < options_.lanes && row.queue.empty();
+    SharedWork shared{ .pieces = row.cache.held(std::span<const PrefixSample>(request.samples)), .wait = 0 };
+    if (options_.singleFlight) {
+        shared = row.flights.offer(request.samples, shared.pieces, options_.prefillPerPiece, now_);
+    }
+    const auto lanes = static_cast<Micros>(options_.lanes);
+    const Micros laneWait = row.computing.size() < options_.lanes ? 0 : computing / lanes;
     return { .server = static_cast<ServerIndex>(engine),
-             .heldPieces = held,
-             .expectedWait = laneFree ? 0 : work / static_cast<Micros>(options_.lanes),
+             .heldPieces = shared.pieces,
+             .expectedWait = std::max(shared.wait, laneWait) + queued / lanes,
              .prefillPerPiece = options_.prefillPerPiece,
              .accepting = row.up };
 }
@@ -335,8 +340,10 @@
     }
     request->life = row.life;
     // What the prompt will find: the cache, and what requests before it compute.
-    request->held = std::max(row.cache.held(std::span<const PrefixHash>(request->hashes)),
-                             options_.singleFlight ? row.flights.pendingPieces(request->samples, now_) : 0);
+    request->held = row.cache.held(std::span<const PrefixHash>(request->hashes));
+    if (options_.singleFlight) {
+        request->held = row.flights.offer(request->samples, request->held, options_.prefillPerPiece, now_).pieces;
+    }
     row.queue.push_back(request);
     pump(engine);
 }
@@ -348,7 +355,7 @@
          && row.computing.size() + row.generating.size() < options_.slots;) {
         const Handle request = *at;
         const std::uint32_t held = row.cache.held(std::span<const PrefixHash>(request->hashes));
-        if (options_.singleFlight && row.flights.waitFor(request->samples, held, now_) > 0) {
+        if (options_.singleFlight && row.flights.offer(request->samples, held, options_.prefillPerPiece, now_).wait > 0) {
             // The computation of a shared prefix ends by itself and pumps again.
             ++at;
             continue;
--- a/packages/routing/tests/fleet_model.h
+++ b/packages/routing/tests/fleet_model.h
@@ -89,6 +89,7 @@
 
     FleetOptions options_;
     std::mt19937_64 random_;
+    std::mt19937_64 workload_; ///< Of its own, so that every policy gets the same requests.
     std::vector<std::unique_ptr<Engine>> engines_;
     std::vector<std::unique_ptr<Entry>> entries_;
     std::vector<std::vector<PrefixHash>> dossiers_;
--- a/packages/routing/tests/routing_compare.cpp
+++ b/packages/routing/tests/routing_compare.cpp
@@ -1,6 +1,8 @@
 // Compares the routing policies with each other and with an oracle that sees every cache, in virtual time.
 //
-//     routing_compare [guild|large] [SEEDS] [no-hot] [no-single-flight]
+//     routing_compare [guild|large|hot] [SEEDS] [rate=N] [bias=SHARE] [probes=N] [no-hot] [no-single-flight]
+//
+// The rate is that of requests per second for 12 engines, 60 without the argument.
 //
 // Figures are min / median / max over the seeds. The share of avoidable tokens is that of prompt tokens that were computed
 // although another reachable engine held them when the request was routed.
@@ -55,19 +57,55 @@
     }
 }
 
+constexpr std::array phases{ "warmup", "skew", "shift", "crash" };
+
+/// The targets of the probe policy, each seed compared with the same seed of the other policies.
+void printTargets(const std::array<std::array<std::vector<Figures>, PhaseCount>, 5> &all, std::size_t phase)
+{
+    constexpr std::size_t hit = 0;
+    constexpr std::size_t avoidable = 1;
+    constexpr std::size_t longP99 = 5;
+    const auto &probe = all[3][phase];
+    const auto show = [&](const char *name, double limit, const std::function<double(std::size_t)> &value) {
+        std::vector<double> values;
+        for (std::size_t seed = 0; seed < probe.size(); ++seed) {
+            values.push_back(value(seed));
+        }
+        std::sort(values.begin(), values.end());
+        std::cout << std::setw(7) << phases[phase] << std::setw(40) << name << std::fixed << std::setprecision(2) << std::setw(8) << values.front()
+                  << std::setw(8) << values[values.size() / 2] << std::setw(8) << values.back() << "  at most " << limit << "\n";
+    };
+    show("points of hit rate below the oracle", 5, [&](std::size_t seed) { return all[4][phase][seed][hit] - probe[seed][hit]; });
+    show("long p99 / least-loaded", 0.5, [&](std::size_t seed) { return probe[seed][longP99] / all[1][phase][seed][longP99]; });
+    show("oracle's long p99 / least-loaded", 0.5, [&](std::size_t seed) { return all[4][phase][seed][longP99] / all[1][phase][seed][longP99]; });
+    show("long p99 / bounded-rendezvous", 0.8, [&](std::size_t seed) { return probe[seed][longP99] / all[2][phase][seed][longP99]; });
+    show("avoidable tokens, %", 5, [&](std::size_t seed) { return probe[seed][avoidable]; });
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     FleetOptions base;
     std::uint64_t seeds = 5;
+    double scale = 1;
     for (int i = 1; i < argc; ++i) {
         if (std::strcmp(argv[i], "large") == 0) {
             base.engines = 200;
             base.entries = 54;
             base.zones = 8;
             base.dossiers = 6'700;
-            base.requestsPerSecond *= 200.0 / 12;
+            scale = 200.0 / 12;
+        } else if (std::strcmp(argv[i], "hot") == 0) {
+            base.dossiers = 20;
+            base.zipf = 2.0;
+            base.requestsPerSecond = 400;
+        } else if (std::strncmp(argv[i], "rate=", 5) == 0) {
+            base.requestsPerSecond = std::atof(argv[i] + 5);
+        } else if (std::strncmp(argv[i], "bias=", 5) == 0) {
+            base.options.homeBias = std::atof(argv[i] + 5);
+        } else if (std::strncmp(argv[i], "probes=", 7) == 0) {
+            base.options.probes = static_cast<std::size_t>(std::atoi(argv[i] + 7));
         } else if (std::strcmp(argv[i], "no-hot") == 0) {
             base.options.hot.maxHomes = 1;
         } else if (std::strcmp(argv[i], "no-single-flight") == 0) {
@@ -76,8 +114,10 @@
             seeds = static_cast<std::uint64_t>(std::atoi(argv[i]));
         }
     }
-    for (int policy = 0; policy < 5; ++policy) {
-        std::array<std::vector<Figures>, PhaseCount> figures;
+    base.requestsPerSecond *= scale;
+    std::array<std::array<std::vector<Figures>, PhaseCount>, 5> all;
+    for (std::size_t policy = 0; policy < all.size(); ++policy) {
+        auto &figures = all[policy];
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             FleetOptions options = base;
             options.seed = seed;
@@ -89,10 +129,12 @@
             }
         }
         for (std::size_t phase = 1; phase < PhaseCount; ++phase) {
-            constexpr std::array phases{ "warmup", "skew", "shift", "crash" };
             std::cout << (policy == 4 ? "oracle" : nameOf(static_cast<PolicyKind>(policy))) << ", " << phases[phase] << ": min / median / max; times in ms\n";
             print(figures[phase]);
         }
     }
+    for (std::size_t phase = 1; phase < PhaseCount; ++phase) {
+        printTargets(all, phase);
+    }
     return 0;
 }
