--- a/packages/routing/include/carobhall/routing.h
+++ b/packages/routing/include/carobhall/routing.h
@@ -8,9 +8,12 @@
 // An agent keeps one CacheIndex and one SingleFlight, and answers probes:
 //
 //     index.apply(incarnation, {.sequence = 7, .stored = true, .hashes = hashes}, now);
-//     SharedWork shared = flights.offer(probe.samples, index.heldPieces(probe.samples), prefillPerPiece, now);
-//     reply.heldPieces = shared.pieces;                              // held, or soon computed by a request before this one
-//     reply.expectedWait = std::max(untilEngineIsFree, shared.wait) + queuedWork;  // followers of a flight queue behind it
+//     reply.heldPieces = index.heldPieces(probe.samples);
+//     SharedWork shared = flights.offer(samples, held, prefillPerPiece, now);  // before a request is handed to the engine
+//     if (shared.wait > 0) ... keep it queued, look again after at most shared.wait
+//
+// What is being computed does not count as held in probe replies: routing_compare measures a worse tail with it, because
+// every request for a prefix then waits for its first computation.
 //
 // An entry process keeps one Router for all routes:
 //
@@ -255,7 +258,7 @@
     /// The remaining time to the flight's expected end, at most to its limit.
     [[nodiscard]] Micros waitFor(std::span<const PrefixSample> samples, std::uint32_t heldPieces, Micros now) const;
 
-    /// Whether to wait for a flight: when the pieces that it adds to \p heldPieces cost more to compute than the wait.
+    /// Whether to wait for a flight: when the wait is less than twice what the pieces that it adds to \p heldPieces cost to compute.
     /// Otherwise the result is \p heldPieces and no wait. \p prefillPerPiece in microseconds.
     [[nodiscard]] SharedWork offer(std::span<const PrefixSample> samples, std::uint32_t heldPieces, Micros prefillPerPiece, Micros now) const;
 
@@ -398,7 +401,7 @@
 /// The number of homes of each prefix that needs more than one. Homes are the first ones in rendezvous order, so that entry
 /// processes that hold different numbers still agree on a common subset.
 ///
-/// Grows when the homes' wait exceeds what another copy costs to compute; each process then grows with probability one half
+/// Grows when the homes' wait exceeds a share of what another copy costs to compute; each process then grows with probability one half
 /// and at most once per `growEvery`, so that processes do not all switch at once. Shrinks by one after a quiet time that is
 /// drawn at random from [quiet, 2 quiet).
 class HotPrefixes
@@ -407,6 +410,7 @@
     struct Options {
         std::size_t capacity = 1024; ///< Prefixes with more than one home; further ones keep one.
         std::uint32_t maxHomes = 64;
+        double growShare = 0.1; ///< Of a copy's cost: a longer wait makes the prefix grow, because many requests share the copy.
         Micros growEvery = 50 * MicrosPerMilli;
         Micros quiet = 10 * MicrosPerSecond;
     };
@@ -523,7 +527,7 @@
     std::size_t memoryRows = 4096; ///< Deep prefixes whose last server is remembered.
     Micros memoryTtl = 30 * MicrosPerSecond;
     Micros remoteWait = 200 * MicrosPerMilli; ///< Wait in the own region from which another region is probed too.
-    double homeBias = 0.1; ///< Of the prefill that a server which is no home of the prefix would do anew; added to its cost.
+    double homeBias = 0.1;                    ///< Of the prefill that a server which is no home of the prefix would do anew; added to its cost.
     double tieBand = 0.02;                    ///< Candidates this close to the cheapest one are drawn at random.
     CostOptions cost{};
     HotPrefixes::Options hot{};
--- a/packages/routing/src/policies.cpp
+++ b/packages/routing/src/policies.cpp
@@ -228,7 +228,8 @@
 Choice ProbePolicy::choose(const RouteQuery &query, PolicyContext &context, const Plan &plan, std::span<const Quote> quotes)
 {
     const PlacementKey key = placementKey(query.hashes, 0);
-    const auto homes = key.pieces > 0 ? order_.top(context.rows, localServers(context), key.hash, hot_.homes(key.hash, context.now)) : std::span<const ServerIndex>();
+    const auto homes = key.pieces > 0 ? order_.top(context.rows, localServers(context), key.hash, hot_.homes(key.hash, context.now))
+                                      : std::span<const ServerIndex>();
     Choice best;
     Micros bestTotal = 0;
     std::size_t ties = 0;
--- a/packages/routing/src/shared_work.cpp
+++ b/packages/routing/src/shared_work.cpp
@@ -84,8 +84,9 @@
 {
     const Shared shared = deepest(samples, now);
     const Micros wait = waitFor(samples, heldPieces, now);
-    // A cold prompt that shares only its beginning with another one is computed at once.
-    if (wait == 0 || wait >= prefillPerPiece * static_cast<Micros>(shared.pieces - heldPieces)) {
+    // A cold prompt that shares only its beginning with another one is computed at once. The saving counts twice, because a
+    // second computation delays the prompt and takes engine time from others.
+    if (wait == 0 || wait >= 2 * prefillPerPiece * static_cast<Micros>(shared.pieces - heldPieces)) {
         return { .pieces = heldPieces, .wait = 0 };
     }
     return { .pieces = shared.pieces, .wait = wait };
@@ -121,7 +122,7 @@
 
 void HotPrefixes::observe(PrefixHash prefix, Micros leastWait, Micros copyCost, Micros now, std::mt19937_64 &random)
 {
-    if (leastWait <= copyCost) {
+    if (static_cast<double>(leastWait) <= options_.growShare * static_cast<double>(copyCost)) {
         return;
     }
     const std::uint32_t current = homes(prefix, now);
--- a/packages/routing/tests/fleet_model.cpp
+++ b/packages/routing/tests/fleet_model.cpp
@@ -16,6 +16,7 @@
 constexpr Micros FailureKnown = 500 * MicrosPerMilli; // Until every router knows that an engine is down.
 constexpr Micros RestartTime = 5 * MicrosPerSecond;
 constexpr Micros ShortestAnswer = 100 * MicrosPerMilli;
+constexpr Micros MeanAnswer = 350 * MicrosPerMilli; // From ShortestAnswer to six times as long.
 constexpr std::string_view Route = "needle-large";
 
 std::string zoneOf(std::size_t number)
@@ -316,14 +317,16 @@
         queued += options_.prefillPerPiece * (static_cast<Micros>(waiting->hashes.size()) - waiting->held);
     }
     SharedWork shared{ .pieces = row.cache.held(std::span<const PrefixSample>(request.samples)), .wait = 0 };
-    if (options_.singleFlight) {
+    if (options_.singleFlight && options_.offerInQuotes) {
         shared = row.flights.offer(request.samples, shared.pieces, options_.prefillPerPiece, now_);
     }
     const auto lanes = static_cast<Micros>(options_.lanes);
     const Micros laneWait = row.computing.size() < options_.lanes ? 0 : computing / lanes;
+    const std::size_t present = row.computing.size() + row.generating.size() + row.queue.size();
+    const Micros slotWait = present < options_.slots ? 0 : MeanAnswer * static_cast<Micros>(present - options_.slots + 1) / static_cast<Micros>(options_.slots);
     return { .server = static_cast<ServerIndex>(engine),
              .heldPieces = shared.pieces,
-             .expectedWait = std::max(shared.wait, laneWait) + queued / lanes,
+             .expectedWait = std::max(std::max(shared.wait, laneWait) + queued / lanes, slotWait),
              .prefillPerPiece = options_.prefillPerPiece,
              .accepting = row.up };
 }
@@ -351,8 +354,8 @@
 void Fleet::pump(std::size_t engine)
 {
     Engine &row = *engines_[engine];
-    for (auto at = row.queue.begin(); at != row.queue.end() && row.computing.size() < options_.lanes
-         && row.computing.size() + row.generating.size() < options_.slots;) {
+    for (auto at = row.queue.begin();
+         at != row.queue.end() && row.computing.size() < options_.lanes && row.computing.size() + row.generating.size() < options_.slots;) {
         const Handle request = *at;
         const std::uint32_t held = row.cache.held(std::span<const PrefixHash>(request->hashes));
         if (options_.singleFlight && row.flights.offer(request->samples, held, options_.prefillPerPiece, now_).wait > 0) {
--- a/packages/routing/tests/fleet_model.h
+++ b/packages/routing/tests/fleet_model.h
@@ -22,7 +22,8 @@
     PolicyKind policy = PolicyKind::Probe;
     bool oracle = false; ///< Instead of the policy: the least cost by the exact state of every engine.
     PolicyOptions options{};
-    bool singleFlight = true;
+    bool singleFlight = true;   ///< A request waits at its engine for one that computes the same prefix.
+    bool offerInQuotes = false; ///< What is being computed counts as held in quotes, with its wait.
     std::uint64_t seed = 1;
     std::size_t engines = 12;
     std::size_t entries = 3;
@@ -31,9 +32,9 @@
     std::size_t dossiers = 400;
     double zipf = 1.0;
     double requestsPerSecond = 60.0;
-    double longShare = 0.7;              ///< Of the requests; the others are short.
-    std::size_t cacheBlocks = 6'000;     ///< Of an engine.
-    std::size_t lanes = 2;               ///< Prompts that an engine computes at once.
+    double longShare = 0.7;          ///< Of the requests; the others are short.
+    std::size_t cacheBlocks = 6'000; ///< Of an engine.
+    std::size_t lanes = 2;           ///< Prompts that an engine computes at once.
     std::size_t slots = 24;
     Micros prefillPerPiece = 1'000;
     Micros phaseTime = 20 * MicrosPerSecond; ///< The hot set shifts at the start of Shift, an engine crashes at the start of Crash.
--- a/packages/routing/tests/routing_compare.cpp
+++ b/packages/routing/tests/routing_compare.cpp
@@ -1,6 +1,6 @@
 // Compares the routing policies with each other and with an oracle that sees every cache, in virtual time.
 //
-//     routing_compare [guild|large|hot] [SEEDS] [rate=N] [bias=SHARE] [probes=N] [no-hot] [no-single-flight]
+//     routing_compare [guild|large|hot] [SEEDS] [rate=N] [bias=SHARE] [probes=N] [no-hot] [no-single-flight] [offer-in-quotes]
 //
 // The rate is that of requests per second for 12 engines, 60 without the argument.
 //
@@ -36,15 +36,9 @@
 Figures figuresOf(const PhaseResult &result, const FleetOptions &options)
 {
     const double laneSeconds = static_cast<double>(options.engines * options.lanes) * static_cast<double>(options.phaseTime) / MicrosPerSecond;
-    return { 100 * result.hit / result.pieces,
-             100 * result.avoidable / result.pieces,
-             100 * result.busy / laneSeconds,
-             percentile(result.longTimes, 0.5),
-             percentile(result.longTimes, 0.95),
-             percentile(result.longTimes, 0.99),
-             percentile(result.shortTimes, 0.5),
-             percentile(result.shortTimes, 0.95),
-             percentile(result.shortTimes, 0.99) };
+    return { 100 * result.hit / result.pieces,   100 * result.avoidable / result.pieces, 100 * result.busy / laneSeconds,
+             percentile(result.longTimes, 0.5),  percentile(result.longTimes, 0.95),     percentile(result.longTimes, 0.99),
+             percentile(result.shortTimes, 0.5), percentile(result.shortTimes, 0.95),    percentile(result.shortTimes, 0.99) };
 }
 
 void print(std::vector<Figures> figures)
@@ -52,8 +46,8 @@
     for (std::size_t column = 0; column < columns.size(); ++column) {
         std::sort(figures.begin(), figures.end(), [column](const Figures &a, const Figures &b) { return a[column] < b[column]; });
         std::cout << std::setw(22) << columns[column] << std::fixed << std::setprecision(1);
-        std::cout << std::setw(9) << figures.front()[column] << std::setw(9) << figures[figures.size() / 2][column] << std::setw(9)
-                  << figures.back()[column] << "\n";
+        std::cout << std::setw(9) << figures.front()[column] << std::setw(9) << figures[figures.size() / 2][column] << std::setw(9) << figures.back()[column]
+                  << "\n";
     }
 }
 
@@ -108,6 +102,8 @@
             base.options.probes = static_cast<std::size_t>(std::atoi(argv[i] + 7));
         } else if (std::strcmp(argv[i], "no-hot") == 0) {
             base.options.hot.maxHomes = 1;
+        } else if (std::strcmp(argv[i], "offer-in-quotes") == 0) {
+            base.offerInQuotes = true;
         } else if (std::strcmp(argv[i], "no-single-flight") == 0) {
             base.singleFlight = false;
         } else if (std::atoi(argv[i]) > 0) {
