--- a/packages/load/src/limits.cpp
+++ b/packages/load/src/limits.cpp
@@ -190,7 +190,7 @@
     row.asked = row.inFlight + row.waiting;
     // The home takes back what the ask does not name, so it must not be used while the answer is on its way.
     row.allowed = std::min(row.allowed, row.asked);
-    const GrantAsk ask{ .account = account, .used = row.used, .wanted = row.wanted - returned, .concurrent = row.asked };
+    GrantAsk ask{ .account = account, .used = row.used, .wanted = row.wanted - returned, .concurrent = row.asked };
     row.used = 0.0;
     row.pending = 0.0;
     row.waiting = 0;
--- a/packages/load/tests/admission_test.cpp
+++ b/packages/load/tests/admission_test.cpp
@@ -271,3 +271,51 @@
     queue.finish(first, 1, 2);
     BOOST_TEST(queue.startNext(2) == 0);
 }
+
+// Guards against free work that fills the upstream, so that paying work waits for a running request to end; and against slots
+// that stay idle although no paying work comes.
+BOOST_AUTO_TEST_CASE(freeWorkLeavesReservedSlotsWhilePayingWorkIsPresent)
+{
+    Admission<FairOrder> queue({ .slots = 8, .ranks = Ranks, .reservedSlots = 2 }, 1);
+    const Work paying{ .account = "p", .rank = Rank::Paying, .cost = 100 };
+    queue.offer(paying, 1);
+    const Ticket first = queue.startNext(1);
+    for (int i = 0; i < 20; ++i) {
+        queue.offer({ .account = "f", .cost = 100 }, 1);
+    }
+    while (queue.startNext(1) != 0) { }
+    BOOST_TEST(queue.running() == 6U);
+    BOOST_TEST(queue.expectedWait(Rank::Paying, "p", 1) == 0);
+    BOOST_TEST(queue.expectedWait(Rank::Free, "f", 1) > 0);
+    const Micros ended = 2 * MicrosPerSecond;
+    queue.finish(first, 100, ended);
+    BOOST_TEST(bool(queue.offer(paying, ended)));
+    while (queue.startNext(ended) != 0) { }
+    BOOST_TEST(queue.running(Rank::Paying) == 1U);
+    BOOST_TEST(queue.running() == 6U);
+
+    const Micros later = 30 * MicrosPerSecond;
+    BOOST_TEST(queue.expectedWait(Rank::Free, "f", later) > 0);
+    while (queue.startNext(later) != 0) { }
+    BOOST_TEST(queue.running() == 8U);
+}
+
+// Guards against a burst of paying work that earns precedence for a free rank that already runs on more than its floor.
+BOOST_AUTO_TEST_CASE(freeWorkAboveItsFloorDoesNotGoFirst)
+{
+    Admission<FairOrder> queue({ .slots = 8, .ranks = Ranks, .refuseEarly = false }, 1);
+    const Work paying{ .account = "p", .rank = Rank::Paying, .cost = 100 };
+    for (int i = 0; i < 20; ++i) {
+        queue.offer({ .account = "f", .cost = 100 }, 1);
+    }
+    for (int i = 0; i < 5; ++i) {
+        queue.startNext(1);
+    }
+    for (int i = 0; i < 200; ++i) {
+        queue.offer(paying, 1);
+        queue.offer(paying, 1);
+        const Ticket ticket = queue.startNext(1);
+        BOOST_REQUIRE(queue.running(Rank::Free) == 5U);
+        queue.finish(ticket, 100, 1);
+    }
+}
