--- a/packages/load/include/carobhall/limits.h
+++ b/packages/load/include/carobhall/limits.h
@@ -24,7 +24,8 @@
 //     home.forget(asker);                                         // membership declared it dead
 //
 // Error bounds. L: tokens per second, P: the period, C: requests at once, N: entry processes, m: cost of the largest request.
-//   Tokens, over any window W with one home:  L W + 3 L P (a full level, one grant beyond it, the unspent grants before W).
+//   Tokens, over any window W with one home: L W + 4 L P. A full level, one grant beyond it, and what was granted before W
+//   and not yet spent, which is at most two periods of recent use.
 //   For each change of home or restart of all processes: 1.1 L P from the new home's level, N initial allowances that sum to
 //   L P, and L for each second in which two processes both answer as the home.
 //   Requests at once: C with one home. After a change of home at most C more, until the requests that ran before have ended.
--- a/packages/load/tests/limits_test.cpp
+++ b/packages/load/tests/limits_test.cpp
@@ -262,7 +262,7 @@
     return result;
 }
 
-// The bound of limits.h in periods' worth of tokens: 3 with one home, and for each change 1.1 for the new home, 1 for initial
+// Below the bound of limits.h, which is 4 with one home, in periods' worth of tokens: 3 with one home, and for each change 1.1 for the new home, 1 for initial
 // allowances, and the time with two homes. Requests that may run while no home answers: one for each entry process.
 constexpr double OneHome = 3.0;
 constexpr double NewHome = 2.1;
