state: test the slot that outlasts its load, early lost answers and prompt release

Cause: trials without the load bound, without the time that a lost answer keeps its slot, and without the release passed. Change: the test asserts at each load that the slot lasts as long as the load, lets lost answers come at once, uses short and long pauses, and requires empty rows as soon as an order is done.

--- a/packages/state/tests/leases_test.cpp
+++ b/packages/state/tests/leases_test.cpp
@@ -15,6 +15,7 @@
 constexpr Micros LoadBound = 4 * MicrosPerSecond;
 constexpr Micros LongPause = 25 * MicrosPerSecond; ///< Longer than every lease.
 constexpr const char *NoLoad = "-3";               ///< Orders with this number load no weights.
+constexpr Micros ShortPause = 2 * MicrosPerSecond; ///< Leaves a slot less time than a load takes.
 constexpr int ServerCount = 4;
 constexpr int ProcessCount = 6;
 
@@ -119,6 +120,9 @@
         // A holder whose lease has gone to another one never gets as far as the engine.
         RC_ASSERT(order.fencing >= engine.highest);
         engine.highest = order.fencing;
+        if (order.loadsWeights) {
+            RC_ASSERT(outlastsLoad(agent));
+        }
         ++sent[order.id];
         const auto [found, fresh] = engine.orders.try_emplace(order.id, time.now() + loadTime(order));
         std::size_t loads = 0;
@@ -130,13 +134,21 @@
         RC_ASSERT(loads <= LoadSlots);
         const bool answerLost = ++answers % 5 == 0;
         const Incarnation incarnation = agent.incarnation;
-        time.at(found->second, [this, &agent, incarnation, done, answerLost] {
+        time.at(answerLost ? time.now() + MicrosPerMilli : found->second, [this, &agent, incarnation, done, answerLost] {
             if (agent.runner && agent.incarnation == incarnation) {
                 done(answerLost ? Verdict::MayHaveRun : Verdict::Ran, {}, agent.now());
             }
         });
     }
 
+    /// Whether the agent's slot lasts as long as a load that starts now, so that it does so when the agent crashes.
+    [[nodiscard]] bool outlastsLoad(const Agent &agent) const
+    {
+        const std::optional<LeaseTable> table = decodeLeases(platform.objects.at({ LeaseKind, "guild-load-slots" }).spec);
+        return std::any_of(table->rows.begin(), table->rows.end(),
+                           [&](const LeaseRow &row) { return agent.leases->mayAct("load-slots", row.token, agent.now(), LoadBound); });
+    }
+
     Micros loadTime(const EngineOrder &order) const
     {
         return order.loadsWeights ? LoadBound - MicrosPerMilli * static_cast<Micros>(order.id.back() - '0') * 100 : MicrosPerMilli;
@@ -171,6 +183,7 @@
             platform.outage = !platform.outage;
         } else if (action == 4 && agent.client) {
             agent.pauseAtGrant = agent.leases->stats().granted + 2;
+            agent.pauseDuration = number % 2 == 0 ? LongPause : ShortPause;
         } else {
             order(agent, number);
         }
@@ -264,7 +277,7 @@
 // Guards against a step of the protocol where a crash or a lost or late answer does harm: each call in turn gets each fault.
 BOOST_AUTO_TEST_CASE(everyStepSurvivesEachFault)
 {
-    const std::vector<Step> list = { { 0, 4, 0, 0 },  { 0, 5, 0, 0 },  { 4, 5, 0, 10 },  { 1, 5, 1, 10 },
+    const std::vector<Step> list = { { 0, 4, 0, 0 },  { 2, 4, 1, 0 },  { 0, 5, 0, 0 },   { 4, 5, 0, 10 },  { 1, 5, 1, 10 },
                                      { 2, 5, 0, 10 }, { 3, 5, 2, 10 }, { 1, 2, 0, 300 }, { 5, 5, 1, 4000 } };
     constexpr int callCount = 30;
     for (int call = 0; call < callCount; ++call) {
@@ -292,7 +305,8 @@
     BOOST_TEST((gate.admit(7, "a") == Errc::StaleFencingToken));
 }
 
-// Guards against fencing tokens that start again below earlier ones when an operator deletes a lease's object.
+// Guards against fencing tokens that start again below earlier ones when an operator deletes a lease's object, and against rows
+// that stay until they expire although their orders are done.
 BOOST_AUTO_TEST_CASE(tokensGrowAcrossDeletion)
 {
     World world;
@@ -300,8 +314,11 @@
     FencingToken last = 0;
     for (int round = 0; round < 3; ++round) {
         world.order(agent, round);
-        world.time.runUntil(world.time.now() + 30 * MicrosPerSecond);
+        world.time.runUntil(world.time.now() + LoadBound + MicrosPerSecond);
         BOOST_TEST(world.engines[2].highest > last);
+        for (const auto &[key, object] : world.platform.objects) {
+            BOOST_TEST(decodeLeases(object.spec)->rows.empty());
+        }
         last = world.engines[2].highest;
         PlatformReply reply;
         world.platform.put({ .verb = PlatformVerb::Delete, .kind = LeaseKind, .name = leaseObjectName("guild", "server-2"), .spec = {} }, reply);
