--- a/packages/routing/src/shared_work.cpp
+++ b/packages/routing/src/shared_work.cpp
@@ -80,6 +80,18 @@
     return std::clamp<Micros>(shared.flight->expectedEnd - now, MicrosPerMilli, shared.flight->limit - now);
 }
 
+SharedWork SingleFlight::offer(std::span<const PrefixSample> samples, std::uint32_t heldPieces, Micros prefillPerPiece, Micros now) const
+{
+    const Shared shared = deepest(samples, now);
+    const Micros wait = waitFor(samples, heldPieces, now);
+    // A cold prompt that shares only its beginning with another one is computed at once. The saving counts twice, because a
+    // second computation delays the prompt and takes engine time from others.
+    if (wait == 0 || wait >= 2 * prefillPerPiece * static_cast<Micros>(shared.pieces - heldPieces)) {
+        return { .pieces = heldPieces, .wait = 0 };
+    }
+    return { .pieces = shared.pieces, .wait = wait };
+}
+
 // Hot prefixes ------------------------------------------------------------------------------------
 
 HotPrefixes::HotPrefixes()
@@ -110,7 +122,7 @@
 
 void HotPrefixes::observe(PrefixHash prefix, Micros leastWait, Micros copyCost, Micros now, std::mt19937_64 &random)
 {
-    if (leastWait <= copyCost) {
+    if (static_cast<double>(leastWait) <= options_.growShare * static_cast<double>(copyCost)) {
         return;
     }
     const std::uint32_t current = homes(prefix, now);
