--- a/packages/agent/tests/agent_harness.cpp
+++ b/packages/agent/tests/agent_harness.cpp
@@ -2,6 +2,7 @@
 
 #include <glib/gstdio.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 
@@ -72,11 +73,8 @@
 {
     const char *const directory = std::getenv("CAROBHALL_BIN");
     arguments.insert(arguments.begin(), std::string(directory == nullptr ? "build/bin" : directory) + "/" + name);
-    std::vector<const char *> words;
-    for (const std::string &argument : arguments) {
-        words.push_back(argument.c_str());
-    }
-    words.push_back(nullptr);
+    std::vector<const char *> words(arguments.size() + 1, nullptr);
+    std::transform(arguments.begin(), arguments.end(), words.begin(), [](const std::string &argument) { return argument.c_str(); });
     const auto flags = static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_MERGE);
     output_->process.reset(g_subprocess_newv(words.data(), flags, nullptr));
     if (output_->process == nullptr) {
@@ -134,10 +132,10 @@
     return std::make_unique<Program>("carobhall-standin", std::move(options));
 }
 
-Json::Value control(const Program &standin, const std::string &body)
+Json::Value ask(const Program &standin, const std::string &path, const std::string &body)
 {
     const ObjectRef<SoupSession> session(soup_session_new());
-    const ObjectRef<SoupMessage> message(soup_message_new(body.empty() ? "GET" : "POST", ("http://" + standin.address() + "/control").c_str()));
+    const ObjectRef<SoupMessage> message(soup_message_new(body.empty() ? "GET" : "POST", ("http://" + standin.address() + path).c_str()));
     if (!body.empty()) {
         const std::unique_ptr<GBytes, decltype(&g_bytes_unref)> bytes(g_bytes_new(body.data(), body.size()), &g_bytes_unref);
         soup_message_set_request_body_from_bytes(message.get(), "application/json", bytes.get());
--- a/packages/agent/tests/engine_test.cpp
+++ b/packages/agent/tests/engine_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "agent_harness.h"
+#include "suspect_news.h"
 
 using namespace Carobhall;
 using namespace Carobhall::Testing;
@@ -136,11 +137,21 @@
 // Guards against concurrent requests that each compute the prefix that they share.
 BOOST_AUTO_TEST_CASE(sharedPrefixIsComputedOnce)
 {
-    Site site("needle-2", { "--prefill-ms=10" });
+    Site site("needle-2", { "--prefill-ms=10", "--decode-ms=50" });
     BOOST_TEST(runUntil([&] { return site.client->probe(completion("")).prefillPerPiece == 10 * MicrosPerMilli; }));
     const std::string prompt = promptOfPieces(32, 's');
     const Seen &leader = site.client->submit(completion(prompt));
     const Seen &follower = site.client->submit(completion(prompt));
+    // The engine computes one prompt at a time by itself; an engine that computes both at once must not get the second.
+    std::uint64_t mostAtEngine = 0;
+    const auto noteLoad = [&] {
+        const Json::Value load = ask(*site.engine, "/load");
+        mostAtEngine = std::max(mostAtEngine, load["running"].asUInt64() + load["waiting"].asUInt64());
+        return false;
+    };
+    // The prefix takes 320 ms.
+    runUntil(noteLoad, 200 * MicrosPerMilli);
+    BOOST_TEST(mostAtEngine == 1U);
     BOOST_TEST(runUntil([&] { return leader.isComplete() && follower.isComplete(); }));
     BOOST_TEST(leader.head->cachedPieces == 0U);
     BOOST_TEST(follower.head->cachedPieces == 32U);
@@ -187,16 +198,48 @@
     BOOST_TEST(third.engine->isAlive());
 }
 
-// Guards against a broken connection to an engine that is still there, for which nobody is a suspect.
-BOOST_AUTO_TEST_CASE(cancelledWorkIsNotSuspect)
+// Guards against two facts of one request that know as much as each other, of which membership would drop either, and against
+// a merged fact that loses to its parts.
+BOOST_AUTO_TEST_CASE(factsOfEqualKnowledgeAreOrdered)
+{
+    const SuspectFact one{ .fingerprint = 11, .firstEngine = 1 };
+    const SuspectFact other{ .fingerprint = 11, .firstEngine = 2 };
+    BOOST_TEST(factOf(one).value != factOf(other).value);
+    const SuspectFact both = mergeFacts(one, other);
+    BOOST_TEST(factOf(both).value > std::max(factOf(one).value, factOf(other).value));
+    BOOST_TEST(factOf(both).text.size() <= MaxFactText);
+    const auto back = suspectFrom(factOf(both));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(factOf(*back).text == factOf(both).text);
+    Fact damaged = factOf(one);
+    damaged.text.resize(3);
+    BOOST_TEST(!suspectFrom(damaged).has_value());
+}
+
+// Guards against crashes of one request at two engines that are not added up.
+BOOST_AUTO_TEST_CASE(simultaneousCrashesAddUp)
+{
+    const std::vector<std::string> options{ "--crash-marker=BOOM", "--crash-after-tokens=2" };
+    Site first("needle-2", options);
+    Site second("needle-3", options, [&](AgentOptions &agent) { agent.settings.process.seeds = { first.address() }; });
+    const auto members = [](const Site &site) { return site.agent->dump()["fleet"]["members"].size(); };
+    BOOST_TEST(runUntil([&] { return members(first) == 2 && members(second) == 2; }));
+    const Submit crashing = withFingerprint(completion("BOOM", 9), 11);
+    const Seen &one = first.client->submit(crashing);
+    const Seen &other = second.client->submit(crashing);
+    BOOST_TEST(runUntil([&] { return one.isOver() && other.isOver(); }));
+    BOOST_TEST(runUntil([&] { return suspicionAt(first, 11) == Suspicion::Condemned && suspicionAt(second, 11) == Suspicion::Condemned; }));
+}
+
+// Guards against a failed call to an engine that is still there, for which nobody is a suspect.
+BOOST_AUTO_TEST_CASE(failedCallIsNotACrash)
 {
-    Site site("needle-2", { "--decode-ms=10" });
-    const Seen &call = site.client->submit(withFingerprint(completion("x", 500), 9));
-    BOOST_TEST(runUntil([&] { return call.head.has_value(); }));
-    site.client = std::make_unique<Client>(site.agent->wirePort());
-    runFor(100 * MicrosPerMilli);
+    // The engine answers with status 503.
+    Site site("needle-2", { "--max-waiting=0" });
+    const Seen &failed = site.client->submit(withFingerprint(completion("y", 50), 9));
+    BOOST_TEST(runUntil([&] { return failed.isOver(); }));
+    BOOST_TEST(failed.isRefused(Verdict::MayHaveRun, Errc::UpstreamFailed));
     BOOST_CHECK(suspicionAt(site, 9) == Suspicion::None);
-    BOOST_TEST(site.agent->dump()["suspects"].asUInt() == 0U);
 }
 
 // Guards against a caller that stops reading and holds the engine's slot for ever.
