Make the fleet tests hit the busiest agent and time the reuse of an address

Cause: the agent that was killed, paused or stopped could carry one stream or none, and the test of a reused address passed without the check of the address because suspicion removes the old member after 2 s.

Change: the tests pick the agent with most requests; the old member must be dead within 1 s.

--- a/packages/entry/tests/fleet_test.cpp
+++ b/packages/entry/tests/fleet_test.cpp
@@ -92,7 +92,7 @@
     earnRetries(site.callerPorts[0]);
     const Calls calls = startStreams(site.callerPorts[0], 9, "killed ");
     BOOST_REQUIRE(runUntil([&] { return allAnswered(calls); }));
-    site.agents[1]->kill();
+    site.agents[site.busiestAgent(0)]->kill();
     BOOST_TEST(runUntil([&] { return allDone(calls); }));
     BOOST_TEST(site.logCount("entry-0.log", "event=attempt_failed") > 0U);
     checkStreams(calls, site.callerPorts[0], "killed ");
@@ -106,7 +106,8 @@
     earnRetries(site.callerPorts[0]);
     const Calls calls = startStreams(site.callerPorts[0], 9, "frozen ");
     BOOST_REQUIRE(runUntil([&] { return allAnswered(calls); }));
-    site.agents[1]->signal(SIGSTOP);
+    const std::size_t frozen = site.busiestAgent(0);
+    site.agents[frozen]->signal(SIGSTOP);
     BOOST_TEST(runUntil([&] { return allDone(calls); }));
     for (int i = 0; i < 20; ++i) {
         Call call(site.callerPorts[0], { .body = completionBody(true, "while frozen " + std::to_string(i)) });
@@ -114,7 +115,7 @@
         BOOST_TEST(call.endsNormally());
     }
     BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 2; }));
-    site.agents[1]->signal(SIGCONT);
+    site.agents[frozen]->signal(SIGCONT);
     BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 3; }));
     BOOST_TEST(site.logCount("entry-0.log", "event=attempt_failed") > 0U);
     checkStreams(calls, site.callerPorts[0], "frozen ");
@@ -158,21 +159,22 @@
     constexpr unsigned tokens = 1000;
     const Calls calls = startStreams(site.callerPorts[0], 9, "leaving ", tokens);
     BOOST_REQUIRE(runUntil([&] { return allAnswered(calls); }));
+    const std::size_t leaving = site.busiestAgent(0);
     const Micros start = monotonicNow();
-    site.agents[1]->signal(SIGTERM);
+    site.agents[leaving]->signal(SIGTERM);
     BOOST_TEST(runUntil([&] { return site.usableAgents(0) == 2; }, 3 * MicrosPerSecond));
     BOOST_TEST_MESSAGE("leaving known_us=" << monotonicNow() - start);
     // New work while the agent finishes its streams. An agent that is asked all the same refuses, which counts as a failed attempt.
-    BOOST_TEST(!site.agents[1]->hasExited());
+    BOOST_TEST(!site.agents[leaving]->hasExited());
     for (int i = 0; i < 30; ++i) {
         Call call(site.callerPorts[0], { .body = streamBody("meanwhile " + std::to_string(i), 1) });
         BOOST_TEST(runUntil([&] { return call.done; }));
         BOOST_TEST(call.endsNormally());
     }
     BOOST_TEST(runUntil([&] { return allDone(calls); }, 20 * MicrosPerSecond));
-    BOOST_TEST(runUntil([&] { return site.agents[1]->hasExited(); }));
+    BOOST_TEST(runUntil([&] { return site.agents[leaving]->hasExited(); }));
     BOOST_TEST(site.logCount("entry-0.log", "event=attempt_failed") == 0U);
-    BOOST_TEST(site.logCount("agent-1.log", "event=attempt_end") < calls.size());
+    BOOST_TEST(site.logCount("agent-" + std::to_string(leaving) + ".log", "event=attempt_end") < calls.size());
     for (const auto &call : calls) {
         BOOST_TEST(call->endsNormally());
         BOOST_TEST(call->streamedText().size() > tokens);
@@ -190,6 +192,13 @@
     site.agents[2]->kill();
     // The agent of the last upstream now has the address of the agent before it.
     site.startAgent(2, address);
+    const auto isReplaced = [&] {
+        const auto states = site.memberStates(0, "agent-1");
+        return states.size() == states.count("dead");
+    };
+    BOOST_REQUIRE(runUntil([&] { return site.memberStates(0, "agent-2").size() == 2; }));
+    // Suspicion alone takes longer than 2 s.
+    BOOST_TEST(runUntil(isReplaced, MicrosPerSecond));
     for (int i = 0; i < 20; ++i) {
         Call call(site.callerPorts[0], { .body = completionBody(true, "address " + std::to_string(i)) });
         BOOST_TEST(runUntil([&] { return call.done; }, 5 * MicrosPerSecond));
--- a/packages/entry/tests/programs.cpp
+++ b/packages/entry/tests/programs.cpp
@@ -340,6 +340,31 @@
     return usable;
 }
 
+std::size_t Site::busiestAgent(std::size_t entry)
+{
+    std::vector<std::size_t> counts(agents.size(), 0);
+    const auto state = dump(entryAdminPorts[entry]);
+    for (std::size_t i = 0; state && i < counts.size(); ++i) {
+        for (const Json::Value &request : (*state)["requests"]) {
+            counts[i] += request["upstream"].asString() == "needle-" + std::to_string(i) ? 1 : 0;
+        }
+    }
+    return static_cast<std::size_t>(std::max_element(counts.begin(), counts.end()) - counts.begin());
+}
+
+std::multiset<std::string> Site::memberStates(std::size_t entry, const std::string &name)
+{
+    std::multiset<std::string> states;
+    const auto state = dump(entryAdminPorts[entry]);
+    for (Json::ArrayIndex i = 0; state && i < (*state)["fleet"]["members"].size(); ++i) {
+        const Json::Value &member = (*state)["fleet"]["members"][i];
+        if (member["name"].asString() == name) {
+            states.insert(member["state"].asString());
+        }
+    }
+    return states;
+}
+
 bool Site::waitReady(std::size_t count, Micros limit)
 {
     const Micros end = monotonicNow() + limit;
--- a/packages/entry/tests/programs.h
+++ b/packages/entry/tests/programs.h
@@ -65,6 +65,10 @@
     /// Every entry process serves and knows \p agents usable agents.
     [[nodiscard]] bool waitReady(std::size_t agents, Micros limit = 10 * MicrosPerSecond);
     [[nodiscard]] std::size_t usableAgents(std::size_t entry);
+    /// The agent that carries most requests of an entry process.
+    [[nodiscard]] std::size_t busiestAgent(std::size_t entry);
+    /// What an entry process believes of the members of this name: a state for each incarnation.
+    [[nodiscard]] std::multiset<std::string> memberStates(std::size_t entry, const std::string &name);
 
     SiteOptions options;
     std::filesystem::path directory;
