Give each test fleet a key of its own

Cause: one run of the leaving test, with others before it and other test runs on the machine, did not see two usable agents within 3 s. Fleets with one key merge when a port is used again, because datagrams do not name the environment; whether that was the cause is not shown.

Change: a random fleet key for each site of the fleet tests.

--- a/packages/entry/tests/programs.cpp
+++ b/packages/entry/tests/programs.cpp
@@ -19,7 +19,6 @@
 namespace
 {
 
-constexpr const char *TestFleetKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 constexpr std::size_t SeedCount = 4;
 
 std::string program(const std::string &name)
@@ -130,6 +129,8 @@
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "carobhall-test-XXXXXX").string();
     directory = mkdtemp(pattern.data());
+    // Fleets of tests that run at the same time must not find each other through a port that was used before.
+    fleetKey_ = toHex(drawIncarnation()) + toHex(drawIncarnation()) + toHex(drawIncarnation()) + toHex(drawIncarnation());
     platformPort = freePort();
     const std::size_t engineCount = options.sharedEngines > 0 ? options.sharedEngines : options.engines;
     for (std::size_t i = 0; i < options.engines; ++i) {
@@ -226,7 +227,7 @@
         process["documentFile"] = (directory / "document.json").string();
     }
     process["fleetKeys"][0]["id"] = 1;
-    process["fleetKeys"][0]["key"] = TestFleetKey;
+    process["fleetKeys"][0]["key"] = fleetKey_;
     return process;
 }
 
--- a/packages/entry/tests/programs.h
+++ b/packages/entry/tests/programs.h
@@ -93,6 +93,7 @@
     [[nodiscard]] Json::Value processSettings(const std::string &name, std::uint16_t wirePort, std::uint16_t adminPort) const;
     std::string writeFile(const std::string &name, const std::string &text) const;
 
+    std::string fleetKey_;
     std::uint64_t version_ = 0;
 };
 
