--- a/packages/agent/tests/agent_harness.h
+++ b/packages/agent/tests/agent_harness.h
@@ -51,8 +51,8 @@
 
 std::unique_ptr<Program> startStandin(const std::string &kind, std::vector<std::string> options = {}, std::uint16_t port = 0);
 
-/// POST \p body to /control of a stand-in, or GET it when the body is empty. The answer, null without one.
-Json::Value control(const Program &standin, const std::string &body = {});
+/// GET \p path of a stand-in, or POST \p body there when it is not empty. The answer, null without one.
+Json::Value ask(const Program &standin, const std::string &path, const std::string &body = {});
 
 /// What came back for one attempt.
 struct Seen {
@@ -92,8 +92,8 @@
     ConnectionId connection_ = 0;
     Incarnation self_ = drawIncarnation();
     std::uint64_t lastNumber_ = 0;
-    std::map<AttemptId, Seen> seen_;
-    std::map<std::uint64_t, ProbeReply> replies_;
+    std::unordered_map<AttemptId, Seen> seen_; ///< References to its values stay valid.
+    std::unordered_map<std::uint64_t, ProbeReply> replies_;
 };
 
 Submit completion(const std::string &prompt, std::uint32_t tokens = 4, Rank rank = Rank::Paying);
