--- a/packages/membership/tests/random_runs_test.cpp
+++ b/packages/membership/tests/random_runs_test.cpp
@@ -99,6 +99,11 @@
     case 10:
         cluster.replayHistory();
         break;
+    case 11:
+        if (row.running && !row.paused) {
+            row.membership->leave(cluster.now());
+        }
+        break;
     default:
         break;
     }
@@ -130,7 +135,7 @@
         for (std::size_t i = 0; i < nodes; ++i) {
             cluster.resume(i);
             cluster.cutRegion(i % 2, false);
-            if (!cluster.nodes[i].running) {
+            if (!cluster.nodes[i].running || cluster.nodes[i].membership->self().leaving) {
                 cluster.restart(i);
             }
         }
