--- a/packages/routing/tests/routing_compare.cpp
+++ b/packages/routing/tests/routing_compare.cpp
@@ -1,6 +1,6 @@
 // Compares the routing policies with each other and with an oracle that sees every cache, in virtual time.
 //
-//     routing_compare [guild|large|hot] [SEEDS] [rate=N] [bias=SHARE] [probes=N] [no-hot] [no-single-flight] [offer-in-quotes]
+//     routing_compare [guild|large|hot] [SEEDS] [rate=N] [phase=SECONDS] [bias=SHARE] [probes=N] [no-hot] [no-single-flight] [offer-in-quotes]
 //
 // The rate is that of requests per second for 12 engines, 60 without the argument.
 //
@@ -80,6 +80,7 @@
 
 int main(int argc, char **argv)
 {
+    std::cout << std::unitbuf; // A long run shows each policy as soon as it has it.
     FleetOptions base;
     std::uint64_t seeds = 5;
     double scale = 1;
@@ -96,6 +97,8 @@
             base.requestsPerSecond = 400;
         } else if (std::strncmp(argv[i], "rate=", 5) == 0) {
             base.requestsPerSecond = std::atof(argv[i] + 5);
+        } else if (std::strncmp(argv[i], "phase=", 6) == 0) {
+            base.phaseTime = std::atoi(argv[i] + 6) * MicrosPerSecond;
         } else if (std::strncmp(argv[i], "bias=", 5) == 0) {
             base.options.homeBias = std::atof(argv[i] + 5);
         } else if (std::strncmp(argv[i], "probes=", 7) == 0) {
