Membership: compare queue positions without a defaulted operator

Cause: clang-tidy reports modernize-use-nullptr inside the rewritten comparison of a defaulted operator<=>.

Change: an explicit operator<. Ruled out: a suppression.

--- a/packages/membership/src/news.h
+++ b/packages/membership/src/news.h
@@ -43,7 +43,10 @@
         std::size_t transmissions = 0;
         std::uint64_t age = 0; ///< Smaller for newer ones.
 
-        auto operator<=>(const Position &) const = default;
+        bool operator<(const Position &other) const
+        {
+            return std::pair(transmissions, age) < std::pair(other.transmissions, other.age);
+        }
     };
     std::map<NewsKey, Position> positions_;
     std::map<Position, NewsKey> queue_;
