--- a/packages/membership/tests/mechanisms_test.cpp
+++ b/packages/membership/tests/mechanisms_test.cpp
@@ -105,7 +105,7 @@
         cluster.pause(4, true);
         cluster.run(Second * 3 / 2);
         cluster.resume(4);
-        cluster.run(Second + i * 30 * MicrosPerMilli);
+        cluster.run(Second + Micros{ i } * 30 * MicrosPerMilli);
     }
     return cluster.nodes[4].membership->counters().suspicions == 0;
 }
