--- a/packages/state/include/carobhall/leases.h
+++ b/packages/state/include/carobhall/leases.h
@@ -39,10 +39,10 @@
 
 struct LeaseRequest {
     std::string name;
-    std::string order;        ///< Identity of what is done under the lease; one order holds one row at most.
-    std::size_t capacity = 1; ///< Holders at once; the same in all requests for the name.
-    Micros duration = 20 * MicrosPerSecond;
-    Micros timeout = 60 * MicrosPerSecond; ///< Of the wait for a free row.
+    std::string order;                      ///< Identity of what is done under the lease; one order holds one row at most.
+    std::size_t capacity = 1;               ///< Holders at once; the same in all requests for the name.
+    Micros duration = 60 * MicrosPerSecond; ///< With renewals four times within it, 0.07 writes a second, below a process's share of the fleet's writes.
+    Micros timeout = 60 * MicrosPerSecond;  ///< Of the wait for a free row.
 };
 
 /// The lease that each order to \p server needs.
--- a/packages/state/tests/placement_test.cpp
+++ b/packages/state/tests/placement_test.cpp
@@ -208,3 +208,16 @@
     server.base = "model-3";
     BOOST_TEST(modelOf(world.current, server) == "model-3");
 }
+
+// Guards against a move that takes a model's last server, or only passes the shortage on.
+BOOST_AUTO_TEST_CASE(donorsKeepWhatTheyNeed)
+{
+    const auto server = [](const std::string &name, const std::string &model) {
+        return PlacementServer{ .name = name, .zone = "zone-0", .base = model, .loaded = model, .slots = 10.0 };
+    };
+    const std::vector<PlacementServer> servers = { server("s1", "idle"), server("s2", "busy"), server("s3", "busy"), server("s4", "hot") };
+    const auto move = [&](double busy) { return nextMove({}, servers, { { .model = "busy", .slots = busy }, { .model = "hot", .slots = 40 } }, {}); };
+    BOOST_TEST(!move(9)); // One server is left with 90% of its slots in use; the idle model has one server only.
+    BOOST_REQUIRE(move(5));
+    BOOST_TEST(move(5)->server == "s2");
+}
