--- a/packages/state/tests/placement_test.cpp
+++ b/packages/state/tests/placement_test.cpp
@@ -95,6 +95,7 @@
     [[nodiscard]] std::vector<ModelDemand> demandNow() const
     {
         std::vector<ModelDemand> list;
+        list.reserve(ModelCount);
         for (int i = 0; i < ModelCount; ++i) {
             list.push_back({ .model = "model-" + std::to_string(i), .slots = demand[static_cast<std::size_t>(i)] * SlotsPerServer });
         }
