state: test a late answer to a claim of a lease

Change: a deterministic test pauses the process between its write and the answer while another one takes the row over. With it in place leases_test passes.

--- a/packages/state/tests/leases_test.cpp
+++ b/packages/state/tests/leases_test.cpp
@@ -343,3 +343,30 @@
     world.platform.outage = false;
     BOOST_TEST(actsAfter(20 * MicrosPerSecond)); // Nobody has taken the row, so the token is still the newest.
 }
+
+// Guards against a holder that counts from a late answer: its process was paused after the write, and another one took the row.
+BOOST_AUTO_TEST_CASE(lateAnswerGrantsNothing)
+{
+    World world;
+    Agent &paused = *world.agents[0];
+    Agent &other = *world.agents[4];
+    std::map<Agent *, FencingToken> tokens;
+    for (Agent *agent : { &paused, &other }) {
+        LeaseRequest request = serverLease("0", "inspection by " + std::to_string(agent->incarnation));
+        request.timeout = 200 * MicrosPerSecond;
+        agent->leases->acquire(request, agent->now(), [&tokens, agent](LeaseAnswer answer, Micros) { tokens[agent] = answer.token; });
+        world.time.runUntil(world.time.now() + 12 * MicrosPerMilli);
+        if (agent == &paused) {
+            paused.pauseDuration = 100 * MicrosPerSecond;
+            paused.transport.decide = [&](const PlatformCall &call) {
+                if (call.verb == PlatformVerb::Update) {
+                    paused.pause();
+                }
+                return Fate{};
+            };
+        }
+    }
+    world.time.runUntil(world.time.now() + 110 * MicrosPerSecond);
+    BOOST_TEST(other.leases->mayAct("server-0", tokens[&other], other.now()));
+    BOOST_TEST(!paused.leases->mayAct("server-0", tokens[&paused], paused.now()));
+}
