--- a/packages/agent/tests/engine_test.cpp
+++ b/packages/agent/tests/engine_test.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "agent_harness.h"
-#include "suspect_news.h"
+#include "carobhall/suspect_news.h"
 
 using namespace Carobhall;
 using namespace Carobhall::Testing;
