Put account limits, reserved slots and lenient documents into the processes

Change: LimitGate in the entry process (asks and grants over peer connections, held requests wait at most 100 ms for a grant); a sixteenth of a model server's slots, at least one of eight, is kept from free work while paying work is present; the fleet accepts documents with unknown fields and logs a warning; the agent uses SingleFlight::offer and reports only what is held.

Ruled out: reserving slots on servers with fewer than eight, where one slot costs more than an eighth of the goodput.

--- a/packages/agent/src/attempt_queue.cpp
+++ b/packages/agent/src/attempt_queue.cpp
@@ -8,12 +8,18 @@
 
 /// Until the first calls have ended, a call of a plain service counts as 100 ms.
 constexpr double PlainCallsPerSlotSecond = 10.0;
+/// Running work cannot be preempted, so a part of a model server's slots is kept from free work while paying work is present.
+/// docs/load.md, section 1.2: a sixteenth lets 99% of paying work meet its target; a small server would lose too much.
+constexpr std::uint32_t SlotsPerReserved = 16;
+constexpr std::uint32_t FewestSlotsToReserve = 8;
 
 AdmissionOptions admissionOptions(const EnvironmentDocument &document, const UpstreamRole &role)
 {
     AdmissionOptions options{ .slots = std::max<std::uint32_t>(role.slots, 1), .ranks = document.ranks };
     if (!role.isModel) {
         options.tokensPerSlotSecond = PlainCallsPerSlotSecond;
+    } else if (role.slots >= FewestSlotsToReserve) {
+        options.reservedSlots = std::max(role.slots / SlotsPerReserved, 1U);
     }
     return options;
 }
--- a/packages/agent/src/attempt_runner.cpp
+++ b/packages/agent/src/attempt_runner.cpp
@@ -51,10 +51,11 @@
     reply.agent = options_.incarnation;
     reply.upstream = options_.upstream.incarnation();
     const Micros now = monotonicNow();
-    reply.heldPieces = options_.prefixes.usablePieces(probe.samples, now);
+    // What is being computed does not count as held: docs/routing.md measures a worse tail with it.
+    reply.heldPieces = options_.prefixes.heldPieces(probe.samples);
     reply.prefillPerPiece = role_.isModel ? options_.prefixes.prefillPerPiece() : 0;
     // Pieces that another attempt still computes count as held, so the wait for them counts too.
-    reply.expectedWait = queue_.expectedWait(static_cast<Rank>(probe.rank), probe.account, now) + options_.prefixes.waitFor(probe.samples, now);
+    reply.expectedWait = queue_.expectedWait(static_cast<Rank>(probe.rank), probe.account, now);
     reply.suspicion = static_cast<std::uint8_t>(probe.fingerprint == 0 ? Suspicion::None : suspects_.suspicion(probe.fingerprint, now));
     reply.configVersion = options_.document.current()->version;
     reply.weightsVersion = role_.weightsVersion;
@@ -144,7 +145,7 @@
         .id = id,
         .account = attempt.submit.account,
         .rank = static_cast<Rank>(attempt.submit.rank),
-        .cost = expectedCost(attempt, options_.prefixes.usablePieces(attempt.prefill.samples, now)),
+        .cost = expectedCost(attempt, options_.prefixes.heldPieces(attempt.prefill.samples)),
         .startBy = now + attempt.submit.timeout,
         .alone = attempt.submit.alone,
     };
--- a/packages/agent/src/attempt_running.cpp
+++ b/packages/agent/src/attempt_running.cpp
@@ -55,10 +55,10 @@
         attempt.runsAlone = true;
         publishSuspects();
     }
-    if (const Micros wait = role_.isModel ? options_.prefixes.waitFor(attempt.prefill.samples, now) : 0; wait > 0) {
+    if (const SharedWork shared = role_.isModel ? options_.prefixes.offer(attempt.prefill.samples, now) : SharedWork{}; shared.wait > 0) {
         attempt.state = AttemptState::Following;
-        attempt.prefill.followedPieces = options_.prefixes.usablePieces(attempt.prefill.samples, now);
-        attempt.prefill.followUntil = std::min(now + FollowSlack * wait, attempt.receivedAt + attempt.submit.timeout);
+        attempt.prefill.followedPieces = shared.pieces;
+        attempt.prefill.followUntil = std::min(now + FollowSlack * shared.wait, attempt.receivedAt + attempt.submit.timeout);
         options_.metrics.count("carobhall_agent_prefix_waits_total");
         return;
     }
@@ -153,7 +153,7 @@
             return;
         }
         const bool isThere = computed && sharedPieces(samples, follower.prefill.samples) >= follower.prefill.followedPieces;
-        if (isThere || options_.prefixes.waitFor(follower.prefill.samples, monotonicNow()) == 0) {
+        if (isThere || options_.prefixes.offer(follower.prefill.samples, monotonicNow()).wait == 0) {
             call(follower);
         }
     });
--- a/packages/agent/src/prefix_state.cpp
+++ b/packages/agent/src/prefix_state.cpp
@@ -44,14 +44,9 @@
     return current_ ? index_.heldPieces(samples) : 0;
 }
 
-std::uint32_t PrefixState::usablePieces(std::span<const PrefixSample> samples, Micros now) const
+SharedWork PrefixState::offer(std::span<const PrefixSample> samples, Micros now) const
 {
-    return std::max(heldPieces(samples), flights_.pendingPieces(samples, now));
-}
-
-Micros PrefixState::waitFor(std::span<const PrefixSample> samples, Micros now) const
-{
-    return flights_.waitFor(samples, heldPieces(samples), now);
+    return flights_.offer(samples, heldPieces(samples), prefillPerPiece(), now);
 }
 
 std::uint64_t PrefixState::begin(std::span<const PrefixSample> samples, std::uint32_t pieces, Micros now)
--- a/packages/agent/src/prefix_state.h
+++ b/packages/agent/src/prefix_state.h
@@ -21,10 +21,8 @@
 
     /// Pieces that the engine's cache holds.
     [[nodiscard]] std::uint32_t heldPieces(std::span<const PrefixSample> samples) const;
-    /// The same, with what is being computed.
-    [[nodiscard]] std::uint32_t usablePieces(std::span<const PrefixSample> samples, Micros now) const;
-    /// How long a request should wait for a prefix that another one is computing; 0: not at all.
-    [[nodiscard]] Micros waitFor(std::span<const PrefixSample> samples, Micros now) const;
+    /// What a request finds if it waits for a prefix that another one is computing, and how long that takes; 0: it should not wait.
+    [[nodiscard]] SharedWork offer(std::span<const PrefixSample> samples, Micros now) const;
 
     /// A request of \p pieces goes to the engine. Returns the number of its flight, 0 when it computes nothing.
     std::uint64_t begin(std::span<const PrefixSample> samples, std::uint32_t pieces, Micros now);
--- a/packages/entry/src/caller_request.cpp
+++ b/packages/entry/src/caller_request.cpp
@@ -12,6 +12,9 @@
 constexpr Micros DefaultDeadline = 30 * MicrosPerSecond;
 constexpr std::uint32_t MaxTokensLimit = 1'000'000;
 constexpr std::size_t MaxIdempotencyKeyBytes = 255;
+constexpr double BytesPerToken = 4.0;
+/// Of a request that names no limit.
+constexpr double DefaultAnswerTokens = 256.0;
 
 using Checked = std::variant<CallerRequest, Failure>;
 
@@ -151,6 +154,19 @@
     return checkPlainRequest(std::move(request), raw.path, document);
 }
 
+double promptTokens(const CallerRequest &request)
+{
+    return static_cast<double>(request.prompt.size()) / BytesPerToken;
+}
+
+double estimatedTokens(const CallerRequest &request)
+{
+    if (!request.isModel()) {
+        return 1.0;
+    }
+    return promptTokens(request) + (request.maxTokens > 0 ? static_cast<double>(request.maxTokens) : DefaultAnswerTokens);
+}
+
 std::string modelList(const EnvironmentDocument &document)
 {
     std::set<std::string> names;
--- a/packages/entry/src/caller_request.h
+++ b/packages/entry/src/caller_request.h
@@ -33,6 +33,11 @@
     }
 };
 
+/// Tokens of a model request's prompt, by an estimate that needs no tokeniser. Thread-safe.
+[[nodiscard]] double promptTokens(const CallerRequest &request);
+/// Tokens that a request may cost; a call of a plain service counts as one. Thread-safe.
+[[nodiscard]] double estimatedTokens(const CallerRequest &request);
+
 /// A request as HTTP delivers it.
 struct RawRequest {
     std::string method;
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -513,6 +513,15 @@
     });
 }
 
+double Dispatcher::spentTokens(std::uint64_t number)
+{
+    const Request *const request = table_.find(number);
+    if (request == nullptr || (request->verdict == Verdict::NotRun && request->phase == RequestPhase::Ended)) {
+        return 0.0;
+    }
+    return request->call.isModel() ? promptTokens(request->call) + static_cast<double>(request->answer.nextOffset()) : 1.0;
+}
+
 std::size_t Dispatcher::size() const
 {
     return table_.size();
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -2,6 +2,7 @@
 #include "carobhall/fleet.h"
 #include "carobhall/suspect_news.h"
 #include "http_front.h"
+#include "limit_gate.h"
 
 namespace Carobhall
 {
@@ -40,6 +41,7 @@
     AgentLinks links;
     Chooser chooser;
     Dispatcher dispatcher;
+    LimitGate limits;
     HttpFront front;
     AdminListener admin;
     Timer tickTimer;
@@ -100,8 +102,20 @@
           .onVersion = [this](const AgentLink &link, std::uint64_t version) { fleet.noteVersion(link.peer.name, version); },
       })
     , dispatcher({ .settings = options.settings, .incarnation = incarnation, .links = links, .chooser = chooser, .metrics = metrics })
-    , front(
-          { .settings = options.settings, .document = document, .dispatcher = dispatcher, .metrics = metrics, .mayServe = [this] { return fleet.mayServe(); } })
+    , limits({
+          .self = incarnation,
+          .document = document,
+          .send = [this](Incarnation peer, const Message &message) { fleet.send(peer, message); },
+          .onGrant = [this](const std::string &account) { front.grantArrived(account); },
+      })
+    , front({
+          .settings = options.settings,
+          .document = document,
+          .dispatcher = dispatcher,
+          .limits = limits,
+          .metrics = metrics,
+          .mayServe = [this] { return fleet.mayServe(); },
+      })
     , admin({
           .metrics = [this] { return metrics.prometheusText(); },
           .dump = [this] { return dump(); },
@@ -126,6 +140,12 @@
         reply.id = ask->id;
         reply.json = writeJson(dump());
         endpoint.send(connection, reply);
+    } else if (const auto *const limitAsk = std::get_if<GrantAsk>(&message)) {
+        if (const Incarnation peer = fleet.peerOf(connection); peer != 0) {
+            limits.asked(peer, *limitAsk);
+        }
+    } else if (const auto *const grant = std::get_if<Grant>(&message)) {
+        limits.granted(*grant);
     } else if (!links.received(connection, std::move(message))) {
         metrics.count("carobhall_entry_unexpected_messages_total");
     }
@@ -140,8 +160,12 @@
 void Entry::Impl::refreshAgents()
 {
     std::vector<AgentInfo> agents;
+    std::vector<Incarnation> entries;
     for (const Member &member : fleet.members()) {
         const MemberInfo &info = member.info;
+        if (static_cast<ProcessKind>(info.kind) == ProcessKind::Entry && member.usable() && info.incarnation != incarnation) {
+            entries.push_back(info.incarnation);
+        }
         if (static_cast<ProcessKind>(info.kind) != ProcessKind::Agent || member.state == MemberState::Dead) {
             continue;
         }
@@ -156,6 +180,7 @@
             .usable = member.usable() && static_cast<UpstreamState>(info.upstreamState) == UpstreamState::Accepting,
         });
     }
+    limits.setPeers(entries);
     links.setAgents(agents);
     chooser.setAgents(agents, document.current()->document, options.settings.process.zone);
 }
@@ -164,6 +189,7 @@
 {
     const Micros now = monotonicNow();
     links.tick(now);
+    limits.tick(now);
     front.tick(now);
     if (now >= nextExpiry) {
         nextExpiry = now + SuspectExpiryInterval;
@@ -193,6 +219,7 @@
     state["config_version"] = Json::UInt64(document.current()->version);
     state["config_digest"] = document.current()->digest;
     state["open_requests"] = Json::UInt64(front.openRequests());
+    state["limited_accounts"] = Json::UInt64(limits.size());
     state["fleet"] = fleet.dump();
     state["agents"] = links.dump();
     state["requests"] = dispatcher.dump();
--- a/packages/entry/src/http_front.cpp
+++ b/packages/entry/src/http_front.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr const char *IntakeKey = "carobhall-intake";
+/// A first request of an account waits this long for an allowance from the account's home.
+constexpr Micros GrantPatience = 100 * MicrosPerMilli;
 constexpr std::string_view BearerPrefix = "Bearer ";
 /// A process that has a document confirms it within 100 ms of its start and within 1 s of a pause.
 constexpr Micros DocumentPatience = 1500 * MicrosPerMilli;
@@ -127,12 +129,19 @@
     if (intake.waitUntil != 0) {
         intake.front->waiting_.remove(&intake);
     }
+    if (intake.held) {
+        intake.front->held_.remove(&intake);
+    }
     if (intake.open) {
         intake.open = false;
         --intake.front->openRequests_;
     }
+    HttpFrontOptions &options = intake.front->options_;
+    if (!intake.charged.empty()) {
+        options.limits.settle(intake.charged, intake.cost, options.dispatcher.spentTokens(intake.number));
+    }
     if (intake.number != 0) {
-        intake.front->options_.dispatcher.callerGone(intake.number);
+        options.dispatcher.callerGone(intake.number);
     }
 }
 
@@ -173,8 +182,70 @@
     soup_server_message_pause(intake.message);
 }
 
+void HttpFront::admit(Intake &intake, CallerRequest call, bool mayWait)
+{
+    const Micros now = monotonicNow();
+    intake.cost = estimatedTokens(call);
+    const LimitAnswer answer = options_.limits.take(call.account, intake.cost, now, mayWait);
+    switch (answer.decision) {
+    case LimitDecision::Allowed:
+        intake.charged = call.account;
+        begin(intake, std::move(call));
+        return;
+    case LimitDecision::Pending:
+        intake.grantBy = intake.grantBy == 0 ? now + GrantPatience : intake.grantBy;
+        intake.held = std::move(call);
+        held_.push_back(&intake);
+        soup_server_message_pause(intake.message);
+        return;
+    case LimitDecision::Refused:
+        refuse(intake,
+               {
+                   .error = Errc::LimitExceeded,
+                   .verdict = Verdict::NotRun,
+                   .message = "the account is over its limit",
+                   .retryAfter = answer.retryAfter,
+               });
+        return;
+    }
+}
+
+void HttpFront::begin(Intake &intake, CallerRequest call)
+{
+    soup_server_message_pause(intake.message);
+    Request &request = options_.dispatcher.add(std::move(call));
+    intake.number = request.number;
+    request.reply = std::make_unique<ReplyWriter>(intake.message, request.call, "req-" + toHex(request.attempt.entry) + "-" + std::to_string(request.number));
+    options_.dispatcher.start(request);
+}
+
+void HttpFront::retryHeld(Intake &intake, bool mayWait)
+{
+    CallerRequest call = std::move(*intake.held);
+    intake.held.reset();
+    held_.remove(&intake);
+    soup_server_message_unpause(intake.message);
+    admit(intake, std::move(call), mayWait);
+}
+
+void HttpFront::grantArrived(const std::string &account)
+{
+    const std::list<Intake *> held = held_;
+    for (Intake *const intake : held) {
+        if (intake->held && intake->held->account == account) {
+            retryHeld(*intake, true);
+        }
+    }
+}
+
 void HttpFront::tick(Micros now)
 {
+    const std::list<Intake *> held = held_;
+    for (Intake *const intake : held) {
+        if (intake->held && intake->grantBy <= now) {
+            retryHeld(*intake, false);
+        }
+    }
     const bool ready = options_.mayServe();
     while (!waiting_.empty() && (ready || waiting_.front()->waitUntil <= now)) {
         Intake &intake = *waiting_.front();
@@ -234,11 +305,7 @@
         refuse(intake, *failure);
         return;
     }
-    soup_server_message_pause(message);
-    Request &request = options_.dispatcher.add(std::move(std::get<CallerRequest>(checked)));
-    intake.number = request.number;
-    request.reply = std::make_unique<ReplyWriter>(message, request.call, "req-" + toHex(request.attempt.entry) + "-" + std::to_string(request.number));
-    options_.dispatcher.start(request);
+    admit(intake, std::move(std::get<CallerRequest>(checked)), true);
 }
 
 } // namespace Carobhall
--- /dev/null
+++ b/packages/entry/src/limit_gate.cpp
@@ -0,0 +1,81 @@
+#include "limit_gate.h"
+
+namespace Carobhall
+{
+
+LimitGate::LimitGate(LimitGateOptions options)
+    : options_(std::move(options))
+{
+    limits_.setEntries({ options_.self });
+    readLimits(options_.document.current()->document);
+    options_.document.onReplaced([this](const VersionedDocument &document) { readLimits(document.document); });
+}
+
+void LimitGate::readLimits(const EnvironmentDocument &document)
+{
+    byAccount_.clear();
+    for (const AccountSpec &account : document.accounts) {
+        if (account.tokensPerSecond > 0 || account.maxConcurrent > 0) {
+            byAccount_[account.name] = { .tokensPerSecond = account.tokensPerSecond, .maxConcurrent = account.maxConcurrent };
+        }
+    }
+}
+
+AccountLimit LimitGate::limitOf(const std::string &account) const
+{
+    const auto entry = byAccount_.find(account);
+    return entry == byAccount_.end() ? AccountLimit{} : entry->second;
+}
+
+void LimitGate::setPeers(const std::vector<Incarnation> &peers)
+{
+    std::unordered_set<Incarnation> now(peers.begin(), peers.end());
+    for (const Incarnation peer : peers_) {
+        if (!now.contains(peer)) {
+            home_.forget(peer);
+        }
+    }
+    peers_ = std::move(now);
+    std::vector<Incarnation> entries(peers_.begin(), peers_.end());
+    entries.push_back(options_.self);
+    limits_.setEntries(std::move(entries));
+}
+
+LimitAnswer LimitGate::take(const std::string &account, double cost, Micros now, bool mayWait)
+{
+    return limits_.take(account, limitOf(account), cost, now, mayWait);
+}
+
+void LimitGate::settle(const std::string &account, double cost, double trueCost)
+{
+    limits_.settle(account, cost, trueCost);
+}
+
+void LimitGate::asked(Incarnation asker, const GrantAsk &ask)
+{
+    options_.send(asker, home_.answer(asker, ask, limitOf(ask.account), monotonicNow()));
+}
+
+void LimitGate::granted(const Grant &grant)
+{
+    limits_.receive(grant, monotonicNow());
+    options_.onGrant(grant.account);
+}
+
+void LimitGate::tick(Micros now)
+{
+    for (const AddressedAsk &addressed : limits_.takeAsks(now)) {
+        if (addressed.home == options_.self) {
+            granted(home_.answer(options_.self, addressed.ask, limitOf(addressed.ask.account), now));
+        } else {
+            options_.send(addressed.home, addressed.ask);
+        }
+    }
+}
+
+std::size_t LimitGate::size() const
+{
+    return limits_.size();
+}
+
+} // namespace Carobhall
--- a/packages/runtime/include/carobhall/fleet.h
+++ b/packages/runtime/include/carobhall/fleet.h
@@ -71,6 +71,10 @@
     void setUpstream(const UpstreamStatus &status);
     /// A probe reply of \p peer names the version of its document.
     void noteVersion(const std::string &peer, std::uint64_t version);
+    /// The incarnation of the process at the other end; 0 when it is not a known member.
+    [[nodiscard]] Incarnation peerOf(ConnectionId connection);
+    /// Sends over an open connection, or dials one. Best effort: dropped when the process is not a known member.
+    void send(Incarnation peer, const Message &message);
     /// A call to the process of this incarnation failed.
     void reportFailure(Incarnation incarnation);
     /// Spreads a fact.
--- a/packages/runtime/src/fleet.cpp
+++ b/packages/runtime/src/fleet.cpp
@@ -75,6 +75,7 @@
     void onEvent(const MemberEvent &event);
     void askForVms();
     void gotVms(GBytes *bytes);
+    [[nodiscard]] const Member *memberNamed(const std::string &peer) const;
     [[nodiscard]] std::string addressOf(const std::string &peer) const;
     void refreshMembers(Micros now);
     void findSources(Micros now);
@@ -128,13 +129,17 @@
 
 DocumentFitness Fleet::Impl::check(const std::string &text)
 {
-    ParsedDocument result = parseDocument(text, options.process.environment);
+    ParsedDocument result = parseDocument(text, options.process.environment, UnknownFields::Ignored);
     if (!result.ok()) {
         logEvent(LogLevel::Error, "document_unusable", { { "error", toString(result.errors.front()) } });
         parsed.reset();
         return DocumentFitness::Unusable;
     }
     parsed = std::move(result.document);
+    if (!result.warnings.empty()) {
+        logEvent(LogLevel::Warning, "document_has_unknown_fields", { { "count", result.warnings.size() }, { "first", toString(result.warnings.front()) } });
+        return DocumentFitness::UnknownFields;
+    }
     return DocumentFitness::Usable;
 }
 
@@ -270,10 +275,10 @@
     udp->membership().addSeeds(addresses);
 }
 
-std::string Fleet::Impl::addressOf(const std::string &peer) const
+const Member *Fleet::Impl::memberNamed(const std::string &peer) const
 {
     if (!udp) {
-        return {};
+        return nullptr;
     }
     const Member *best = nullptr;
     for (const Member &member : udp->membership().members()) {
@@ -282,7 +287,13 @@
             best = &member;
         }
     }
-    return best == nullptr ? std::string() : best->info.address;
+    return best;
+}
+
+std::string Fleet::Impl::addressOf(const std::string &peer) const
+{
+    const Member *const member = memberNamed(peer);
+    return member == nullptr ? std::string() : member->info.address;
 }
 
 // 3. Ticks ----------------------------------------------------------------------------------------
@@ -421,6 +432,20 @@
     impl_->relay.onFact(peer, version, monotonicNow());
 }
 
+Incarnation Fleet::peerOf(ConnectionId connection)
+{
+    const std::string *const name = impl_->channels.heard(connection);
+    const Member *const member = name == nullptr ? nullptr : impl_->memberNamed(*name);
+    return member == nullptr ? 0 : member->info.incarnation;
+}
+
+void Fleet::send(Incarnation peer, const Message &message)
+{
+    if (const Member *const member = impl_->started ? impl_->udp->membership().find(peer) : nullptr; member != nullptr) {
+        impl_->channels.send(member->info.name, message);
+    }
+}
+
 void Fleet::reportFailure(Incarnation incarnation)
 {
     if (impl_->started) {
