Count the prefill that an engine has been given in the expected wait

Cause: an engine shares its prefill throughput among the requests of its batch, but the agent's expected wait ended when a slot was free. Every entry process sent the next long prompt to the same home because its agent promised an immediate start. The learned prefill time contained the same wait, which raised the estimates of busy engines' pieces.

Change: PrefillBacklog in the agent counts the pieces handed to the engine; probe replies add its remaining time to the expected wait, flights of shared prefixes end later by it, and the prefill time per piece is learned from the time that the engine worked on it.

--- a/packages/agent/src/attempt_delivery.cpp
+++ b/packages/agent/src/attempt_delivery.cpp
@@ -136,7 +136,7 @@
         endAlone(attempt, false);
         attempt.state = AttemptState::Ended;
         attempt.call.reset();
-        endFlight(attempt, false);
+        endPrefill(attempt, false);
         table_.forget(attempt.id, Verdict::MayHaveRun, now);
         runNext();
         return;
--- a/packages/agent/src/attempt_runner.cpp
+++ b/packages/agent/src/attempt_runner.cpp
@@ -55,7 +55,7 @@
     reply.heldPieces = options_.prefixes.heldPieces(probe.samples);
     reply.prefillPerPiece = role_.isModel ? options_.prefixes.prefillPerPiece() : 0;
     // Pieces that another attempt still computes count as held, so the wait for them counts too.
-    reply.expectedWait = queue_.expectedWait(static_cast<Rank>(probe.rank), probe.account, now);
+    reply.expectedWait = queue_.expectedWait(static_cast<Rank>(probe.rank), probe.account, now) + options_.prefixes.backlogWait(now);
     reply.suspicion = static_cast<std::uint8_t>(probe.fingerprint == 0 ? Suspicion::None : suspects_.suspicion(probe.fingerprint, now));
     reply.configVersion = options_.document.current()->version;
     reply.weightsVersion = role_.weightsVersion;
--- a/packages/agent/src/attempt_runner.h
+++ b/packages/agent/src/attempt_runner.h
@@ -71,6 +71,7 @@
     void claimed(const AttemptId &id, ClaimOutcome outcome);
     void call(Attempt &attempt);
     void replay(Attempt &attempt, StoredAnswer answer);
+    void endPrefill(Attempt &attempt, bool computed);
     void endFlight(Attempt &attempt, bool computed);
     void endAlone(Attempt &attempt, bool completed);
     void answered(const AttemptId &id, const UpstreamAnswer &answer);
--- a/packages/agent/src/attempt_running.cpp
+++ b/packages/agent/src/attempt_running.cpp
@@ -113,6 +113,8 @@
     if (role_.isModel) {
         attempt.prefill.cachedPieces = options_.prefixes.heldPieces(attempt.prefill.samples);
         attempt.prefill.flight = options_.prefixes.begin(attempt.prefill.samples, attempt.prefill.pieces, now);
+        attempt.prefill.backlogPieces = attempt.prefill.pieces - std::min(attempt.prefill.cachedPieces, attempt.prefill.pieces);
+        options_.prefixes.backlog().add(attempt.prefill.backlogPieces, now);
     }
     const AttemptId id = attempt.id;
     attempt.call = options_.upstream.makeCall(upstreamRequestFor(attempt.submit, role_.isModel), attempt.submit.path,
@@ -140,6 +142,18 @@
     finish(attempt, std::move(end));
 }
 
+void AttemptRunner::endPrefill(Attempt &attempt, bool computed)
+{
+    const std::uint32_t pieces = std::exchange(attempt.prefill.backlogPieces, 0);
+    if (pieces > 0) {
+        const Micros worked = options_.prefixes.backlog().remove(pieces, monotonicNow());
+        if (computed) {
+            options_.prefixes.learn(pieces, worked);
+        }
+    }
+    endFlight(attempt, computed);
+}
+
 void AttemptRunner::endFlight(Attempt &attempt, bool computed)
 {
     const std::uint64_t flight = std::exchange(attempt.prefill.flight, 0);
@@ -178,6 +192,10 @@
     }
     attempt->engine = answer.incarnation == 0 ? attempt->engine : answer.incarnation;
     attempt->prefill.cachedPieces = answer.cachedPieces.value_or(attempt->prefill.cachedPieces);
+    if (PrefillWork &work = attempt->prefill; work.backlogPieces > 0 && answer.cachedPieces) {
+        const std::uint32_t uncached = work.pieces - std::min(work.cachedPieces, work.pieces);
+        options_.prefixes.backlog().correct(std::exchange(work.backlogPieces, uncached), uncached);
+    }
     queue_.correctCost(id, expectedCost(*attempt, attempt->prefill.cachedPieces));
     Head head;
     head.key = id;
@@ -192,8 +210,7 @@
 {
     PrefillWork &work = attempt.prefill;
     if (work.generatedTokens++ == 0) {
-        options_.prefixes.learn(work.pieces - std::min(work.cachedPieces, work.pieces), monotonicNow() - attempt.calledAt);
-        endFlight(attempt, true);
+        endPrefill(attempt, true);
     }
 }
 
@@ -226,7 +243,7 @@
         return;
     }
     attempt->call.reset();
-    endFlight(*attempt, false);
+    endPrefill(*attempt, false);
     const bool mayBeCrash = role_.isModel && !result.complete && result.verdict == Verdict::MayHaveRun && attempt->engine != 0;
     if (!mayBeCrash) {
         settle(*attempt, std::move(result));
--- a/packages/agent/src/attempt_table.h
+++ b/packages/agent/src/attempt_table.h
@@ -35,6 +35,7 @@
     std::vector<PrefixSample> samples;
     std::uint32_t pieces = 0;          ///< Of the whole prompt.
     std::uint32_t cachedPieces = 0;    ///< That the engine found in its cache.
+    std::uint32_t backlogPieces = 0;   ///< Counted in the engine's prefill backlog.
     std::uint64_t flight = 0;          ///< In single-flight; 0: none.
     std::uint32_t followedPieces = 0;  ///< Of the prefix that another attempt computes.
     Micros followUntil = 0;            ///< It waits for that no longer.
--- a/packages/agent/src/prefix_state.cpp
+++ b/packages/agent/src/prefix_state.cpp
@@ -1,5 +1,8 @@
 #include "prefix_state.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Carobhall
 {
 
@@ -19,6 +22,30 @@
 
 } // namespace
 
+void PrefillBacklog::add(std::uint32_t pieces, Micros now)
+{
+    if (pieces_ == 0) {
+        since_ = now;
+    }
+    pieces_ += pieces;
+}
+
+void PrefillBacklog::correct(std::uint32_t before, std::uint32_t after)
+{
+    pieces_ = pieces_ - std::min<std::uint64_t>(before, pieces_) + after;
+}
+
+Micros PrefillBacklog::remove(std::uint32_t pieces, Micros now)
+{
+    pieces_ -= std::min<std::uint64_t>(pieces, pieces_);
+    return now - std::exchange(since_, now);
+}
+
+Micros PrefillBacklog::remaining(Micros perPiece, Micros now) const
+{
+    return pieces_ == 0 ? 0 : std::max<Micros>(static_cast<Micros>(pieces_) * perPiece - (now - since_), 0);
+}
+
 PrefixState::PrefixState()
     : prefill_(prefillFrom(InitialPrefillPerPiece))
 {
@@ -49,13 +76,23 @@
     return flights_.offer(samples, heldPieces(samples), prefillPerPiece(), now);
 }
 
+PrefillBacklog &PrefixState::backlog()
+{
+    return backlog_;
+}
+
+Micros PrefixState::backlogWait(Micros now) const
+{
+    return backlog_.remaining(prefillPerPiece(), now);
+}
+
 std::uint64_t PrefixState::begin(std::span<const PrefixSample> samples, std::uint32_t pieces, Micros now)
 {
     const std::uint32_t held = heldPieces(samples);
     if (held >= pieces) {
         return 0;
     }
-    return flights_.begin(samples, prefillPerPiece() * (pieces - held), now);
+    return flights_.begin(samples, backlogWait(now) + prefillPerPiece() * (pieces - held), now);
 }
 
 void PrefixState::end(std::uint64_t flight)
--- a/packages/agent/tests/engine_test.cpp
+++ b/packages/agent/tests/engine_test.cpp
@@ -88,6 +88,24 @@
     BOOST_TEST(runUntil([&] { return free.isComplete(); }));
 }
 
+// Guards against an agent that has a free slot and promises an immediate start although its engine computes long prompts one after
+// the other: every entry process then sends the next long prompt there too.
+BOOST_AUTO_TEST_CASE(expectedWaitCountsThePrefillInTheEngine)
+{
+    constexpr Micros perPiece = 5 * MicrosPerMilli;
+    constexpr std::size_t pieces = 40;
+    Site site("needle-2", { "--prefill-ms=5" });
+    BOOST_TEST(site.client->probe(completion("")).expectedWait == 0);
+    const Seen &first = site.client->submit(completion(promptOfPieces(pieces, 'p')));
+    const Seen &second = site.client->submit(completion(promptOfPieces(pieces, 'q')));
+    runFor(50 * MicrosPerMilli);
+    const Micros wait = site.client->probe(completion("")).expectedWait;
+    BOOST_TEST(wait > perPiece * static_cast<Micros>(pieces));
+    BOOST_TEST(wait < perPiece * static_cast<Micros>(2 * pieces));
+    BOOST_TEST(runUntil([&] { return first.isComplete() && second.isComplete(); }));
+    BOOST_TEST(site.client->probe(completion("")).expectedWait == 0);
+}
+
 // Guards against blocks of a dead engine that count as held, and against work for the engine that is no longer there.
 BOOST_AUTO_TEST_CASE(indexFollowsTheEngineAndEmptiesWithIt)
 {
