--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -310,13 +310,15 @@
 {
     const bool hasBegun = request.answer.nextOffset() > 0;
     // Another run of a plain service may give other bytes, so an answer that has begun is not continued.
+    // An agent ends an attempt by a timeout when the caller does not read; elsewhere it would not read either.
+    const bool isStalled = failure.error == Errc::Timeout && failure.verdict == Verdict::MayHaveRun;
     const bool canContinue = request.call.isModel() ? request.text.size() <= MaxKeptText : !hasBegun;
     const auto error = failure.error.category() == errorCategory() ? static_cast<Errc>(failure.error.value()) : Errc::UpstreamFailed;
     return retries_.decide({
         .account = request.call.account,
         .verdict = failure.verdict,
         .error = error,
-        .repeatable = request.call.repeatable && canContinue,
+        .repeatable = request.call.repeatable && canContinue && !isStalled,
         .attempts = request.attempt.attempt - request.redirects,
         .redirects = request.redirects,
         // The deadline is about the start: an answer that has begun may be continued after it.
--- a/packages/entry/src/http_front.cpp
+++ b/packages/entry/src/http_front.cpp
@@ -126,6 +126,7 @@
 {
     auto &intake = *static_cast<Intake *>(data);
     intake.timeout.stop();
+    intake.watch.stop();
     if (intake.waitUntil != 0) {
         intake.front->waiting_.remove(&intake);
     }
@@ -216,9 +217,24 @@
     Request &request = options_.dispatcher.add(std::move(call));
     intake.number = request.number;
     request.reply = std::make_unique<ReplyWriter>(intake.message, request.call, "req-" + toHex(request.attempt.entry) + "-" + std::to_string(request.number));
+    if (GSocket *const socket = soup_server_message_get_socket(intake.message); socket != nullptr) {
+        intake.watch.start(socket, [this, message = intake.message] { callerLeft(message); });
+    }
     options_.dispatcher.start(request);
 }
 
+void HttpFront::callerLeft(SoupServerMessage *message)
+{
+    const ObjectRef<SoupServerMessage> kept = refObject(message);
+    options_.metrics.count("carobhall_entry_callers_left_total");
+    closeConnection(message);
+    // The write that follows fails, which ends the message and with it the request.
+    if (soup_server_message_get_status(message) == 0) {
+        soup_server_message_set_status(message, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+    }
+    soup_server_message_unpause(message);
+}
+
 void HttpFront::retryHeld(Intake &intake, bool mayWait)
 {
     CallerRequest call = std::move(*intake.held);
--- a/packages/entry/src/http_front.h
+++ b/packages/entry/src/http_front.h
@@ -2,6 +2,7 @@
 
 // The callers' HTTP listener: limits on what is read, authentication, and one reply for each request.
 
+#include "caller_watch.h"
 #include "dispatcher.h"
 #include "limit_gate.h"
 
@@ -49,7 +50,8 @@
         bool open = false;        ///< Counted in openRequests_.
         std::uint64_t number = 0; ///< In the request table; 0: not there.
         Micros arrivedAt = 0;
-        Timer timeout; ///< Until the request has arrived whole.
+        Timer timeout;     ///< Until the request has arrived whole.
+        CallerWatch watch; ///< While the request is in work.
         std::string path;
         Micros waitUntil = 0;                ///< For the document; 0: does not wait.
         std::optional<CallerRequest> held{}; ///< Waits for an allowance of its account.
@@ -69,6 +71,7 @@
     void wait(Intake &intake);
     void admit(Intake &intake, CallerRequest call, bool mayWait);
     void begin(Intake &intake, CallerRequest call);
+    void callerLeft(SoupServerMessage *message);
     void retryHeld(Intake &intake, bool mayWait);
     void refuse(const Intake &intake, const Failure &failure);
     [[nodiscard]] const AccountSpec *accountOf(SoupServerMessage *message) const;
