Correct a comment in the wire layer

Cause: the comment above MaxInboundBytes spoke of keep-alive, which nothing there sets. Change: it says what the constant bounds, and why it exceeds a frame. Result: comment only.

--- a/packages/wire/src/wire.cpp
+++ b/packages/wire/src/wire.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t LengthSize = sizeof(std::uint32_t);
 constexpr Micros SweepInterval = 250 * MicrosPerMilli;
-/// A dead peer's host sends no reset; without keep-alive a connection to it would stay open for hours.
+/// Reading from a connection pauses while this much waits for the main loop. Larger than the largest frame.
 constexpr std::size_t MaxInboundBytes = std::size_t{ 8 } << 20U;
 
 std::string frameOf(std::string_view payload)
