Leave a message alone when its answer is being written

The suspected cause is CallerWatch: a caller that closed its connection just after a whole answer made it resume a message that libsoup was completing. Change: a caller that leaves is acted on only while the request's outcome is open; after that libsoup is writing and notices the end. Ruled out: taking the watch out, which would leave callers unnoticed through the whole prefill again. The crash's stack was not read.

--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -515,6 +515,12 @@
     });
 }
 
+bool Dispatcher::isOpen(std::uint64_t number)
+{
+    const Request *const request = table_.find(number);
+    return request != nullptr && request->phase != RequestPhase::Ended;
+}
+
 double Dispatcher::spentTokens(std::uint64_t number)
 {
     const Request *const request = table_.find(number);
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -36,6 +36,8 @@
     void linkUnreachable(const AgentLink &link, ConnectionId connection);
     /// Whether an answer is expected from the agent.
     [[nodiscard]] bool expectsFrom(const AgentLink &link);
+    /// Whether the request's outcome is still open.
+    [[nodiscard]] bool isOpen(std::uint64_t number);
     /// Tokens that the request has cost so far, 0 while it certainly has not run; a call of a plain service counts as one.
     [[nodiscard]] double spentTokens(std::uint64_t number);
     /// Ends what is overdue. Call it every few tens of milliseconds.
--- a/packages/entry/src/http_front.cpp
+++ b/packages/entry/src/http_front.cpp
@@ -218,13 +218,17 @@
     intake.number = request.number;
     request.reply = std::make_unique<ReplyWriter>(intake.message, request.call, "req-" + toHex(request.attempt.entry) + "-" + std::to_string(request.number));
     if (GSocket *const socket = soup_server_message_get_socket(intake.message); socket != nullptr) {
-        intake.watch.start(socket, [this, message = intake.message] { callerLeft(message); });
+        intake.watch.start(socket, [this, message = intake.message, number = intake.number] { callerLeft(message, number); });
     }
     options_.dispatcher.start(request);
 }
 
-void HttpFront::callerLeft(SoupServerMessage *message)
+void HttpFront::callerLeft(SoupServerMessage *message, std::uint64_t number)
 {
+    if (!options_.dispatcher.isOpen(number)) {
+        // The answer is being written, and libsoup notices the end by itself. Resuming such a message crashes libsoup.
+        return;
+    }
     const ObjectRef<SoupServerMessage> kept = refObject(message);
     options_.metrics.count("carobhall_entry_callers_left_total");
     closeConnection(message);
--- a/packages/entry/src/http_front.h
+++ b/packages/entry/src/http_front.h
@@ -71,7 +71,7 @@
     void wait(Intake &intake);
     void admit(Intake &intake, CallerRequest call, bool mayWait);
     void begin(Intake &intake, CallerRequest call);
-    void callerLeft(SoupServerMessage *message);
+    void callerLeft(SoupServerMessage *message, std::uint64_t number);
     void retryHeld(Intake &intake, bool mayWait);
     void refuse(const Intake &intake, const Failure &failure);
     [[nodiscard]] const AccountSpec *accountOf(SoupServerMessage *message) const;
