Stop the caller watches with the front

Change: the front stops its watches and its signal handlers on open messages when it is destroyed. Ruled out: libsoup's own handling of a resumed message, which is not in the stack.

--- a/packages/entry/src/http_front.cpp
+++ b/packages/entry/src/http_front.cpp
@@ -47,6 +47,11 @@
 
 HttpFront::~HttpFront()
 {
+    // A message that libsoup still holds outlives the front.
+    for (Intake *const intake : inWork_) {
+        intake->watch.stop();
+        g_signal_handlers_disconnect_by_data(intake->message, intake);
+    }
     soup_server_disconnect(server_.get());
 }
 
@@ -127,6 +132,7 @@
     auto &intake = *static_cast<Intake *>(data);
     intake.timeout.stop();
     intake.watch.stop();
+    intake.front->inWork_.remove(&intake);
     if (intake.waitUntil != 0) {
         intake.front->waiting_.remove(&intake);
     }
@@ -218,6 +224,7 @@
     intake.number = request.number;
     request.reply = std::make_unique<ReplyWriter>(intake.message, request.call, "req-" + toHex(request.attempt.entry) + "-" + std::to_string(request.number));
     if (GSocket *const socket = soup_server_message_get_socket(intake.message); socket != nullptr) {
+        inWork_.push_back(&intake);
         intake.watch.start(socket, [this, message = intake.message, number = intake.number] { callerLeft(message, number); });
     }
     options_.dispatcher.start(request);
@@ -226,7 +233,7 @@
 void HttpFront::callerLeft(SoupServerMessage *message, std::uint64_t number)
 {
     if (!options_.dispatcher.isOpen(number)) {
-        // The answer is being written, and libsoup notices the end by itself. Resuming such a message crashes libsoup.
+        // The answer is being written, and libsoup notices the end by itself.
         return;
     }
     const ObjectRef<SoupServerMessage> kept = refObject(message);
--- a/packages/entry/src/http_front.h
+++ b/packages/entry/src/http_front.h
@@ -82,6 +82,7 @@
     std::uint16_t port_ = 0;
     std::size_t openRequests_ = 0;
     std::list<Intake *> waiting_; ///< For the document, in the order of arrival.
+    std::list<Intake *> inWork_;  ///< Watched until they have finished.
     std::list<Intake *> held_;    ///< For an allowance, in the order of arrival.
     bool leaving_ = false;
 };
