--- a/packages/state/tests/claims_test.cpp
+++ b/packages/state/tests/claims_test.cpp
@@ -224,16 +224,7 @@
         { 0, 0, 5, 0 },  { 1, 0, 5, 5 },   { 0, 1, 5, 0 },   { 2, 1, 1, 2 },   { 1, 2, 0, 3 },   { 0, 2, 5, 300 },
         { 2, 0, 5, 80 }, { 1, 1, 5, 400 }, { 0, 0, 5, 500 }, { 2, 2, 5, 100 }, { 0, 1, 5, 900 },
     };
-    constexpr int callCount = 30;
-    for (int call = 0; call < callCount; ++call) {
-        for (int fault = 0; fault <= PauseFault; ++fault) {
-            std::vector<int> faults(callCount, 9);
-            faults[static_cast<std::size_t>(call)] = fault;
-            runWorld(list, faults, -1, false);
-            runWorld(list, faults, call, false);
-            runWorld(list, faults, call, true);
-        }
-    }
+    withEachFaultAtEachCall([&list](const std::vector<int> &faults, int crashCall, bool crashAfter) { runWorld(list, faults, crashCall, crashAfter); });
 }
 
 // Guards against a key that answers for another request, and against results that get lost.
--- a/packages/state/tests/fake_platform.h
+++ b/packages/state/tests/fake_platform.h
@@ -348,4 +348,22 @@
     };
 }
 
+/// Runs a schedule with each fault at each of its first calls: without a crash, with one before and with one after that call. \p run
+/// takes the faults by call, the call to crash at (-1: none), and whether the crash comes after it.
+template<typename Run>
+void withEachFaultAtEachCall(Run run)
+{
+    constexpr int callCount = 30;
+    constexpr int noFault = 9;
+    for (int call = 0; call < callCount; ++call) {
+        for (int fault = 0; fault <= PauseFault; ++fault) {
+            std::vector<int> faults(callCount, noFault);
+            faults[static_cast<std::size_t>(call)] = fault;
+            run(faults, -1, false);
+            run(faults, call, false);
+            run(faults, call, true);
+        }
+    }
+}
+
 } // namespace Carobhall::Testing
--- a/packages/state/tests/leases_test.cpp
+++ b/packages/state/tests/leases_test.cpp
@@ -279,16 +279,7 @@
 {
     const std::vector<Step> list = { { 0, 4, 0, 0 },  { 2, 4, 1, 0 },  { 0, 5, 0, 0 },   { 4, 5, 0, 10 },  { 1, 5, 1, 10 },
                                      { 2, 5, 0, 10 }, { 3, 5, 2, 10 }, { 1, 2, 0, 300 }, { 5, 5, 1, 4000 } };
-    constexpr int callCount = 30;
-    for (int call = 0; call < callCount; ++call) {
-        for (int fault = 0; fault <= PauseFault; ++fault) {
-            std::vector<int> faults(callCount, 9);
-            faults[static_cast<std::size_t>(call)] = fault;
-            runWorld(list, faults, -1, false);
-            runWorld(list, faults, call, false);
-            runWorld(list, faults, call, true);
-        }
-    }
+    withEachFaultAtEachCall([&list](const std::vector<int> &faults, int crashCall, bool crashAfter) { runWorld(list, faults, crashCall, crashAfter); });
 }
 
 // Guards against an engine that does not check tokens and gets a stale order through a restarted agent.
