--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -26,6 +26,9 @@
 # carobhall_test(NAME SOURCE... DEPS ... [LABELS ...] [TIMEOUT seconds]): a Boost.Test program that ctest runs.
 # RapidCheck runs with a fixed seed, so that the verdict is the same every time.
 function(carobhall_test name)
+    if(CAROBHALL_DEPLOY_ONLY)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "TIMEOUT" "DEPS;LABELS" ${ARGN})
     add_executable(${name} ${ARG_UNPARSED_ARGUMENTS})
     target_link_libraries(${name} PRIVATE ${ARG_DEPS} Boost::unit_test_framework rapidcheck)
--- /dev/null
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -0,0 +1,178 @@
+#pragma once
+
+// The upstreams that a gateway may call, what is known of their load and health, and the choice among them.
+//
+//     UpstreamTable table(zoneMap, "zagreb-a");
+//     table.update(record, now);                                 // from the platform's list
+//     table.noteEngine(address, news, now);                      // from the agent beside an engine
+//     if (auto choice = table.choosePlain("guild", tried, now)) { ... }
+//     if (auto choice = table.chooseEngine(demand, tried, now)) { ... }
+//
+// Decisions only: no I/O and no clock.
+//
+// Index
+//   1. Upstream        record, load, health
+//   2. Choices
+//   3. UpstreamTable
+
+#include "carobhall/prompt_directory.h"
+#include "carobhall/site.h"
+
+#include <map>
+#include <random>
+#include <span>
+
+namespace Carobhall
+{
+
+// 1. Upstream -------------------------------------------------------------------------------------
+
+/// What the agent beside a model server reports.
+struct EngineLoad {
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint64_t usedTokens = 0;  ///< Memory that cannot be freed.
+    std::uint64_t totalTokens = 0; ///< 0: not known.
+    std::uint64_t weightsVersion = 0;
+    bool closed = false; ///< It is about to load or is loading weights and takes no new requests.
+};
+
+struct Upstream {
+    UpstreamNumber number = 0;
+    UpstreamRecord record{};
+    bool present = true;   ///< In the platform's list.
+    Micros vanishedAt = 0; ///< When it left the list.
+
+    EngineLoad load{};
+    Micros loadAt = 0; ///< 0: the agent has never reported.
+
+    // Counted by this process.
+    std::uint32_t inFlight = 0;
+    std::uint64_t unreadTokens = 0; ///< Prompt tokens of its requests that have produced nothing yet.
+    std::uint64_t recentTokens = 0; ///< Memory of requests sent since the last report.
+    std::uint32_t failuresInRow = 0;
+    Micros avoidUntil = 0;
+    double failureShare = 0.0; ///< Moving average over responses, 0 to 1.
+    double latency = 0.0;      ///< Moving average of response times, microseconds.
+
+    [[nodiscard]] std::uint64_t weightsVersion() const
+    {
+        return load.weightsVersion != 0 ? load.weightsVersion : record.weightsVersion;
+    }
+};
+
+using UpstreamRef = std::shared_ptr<Upstream>;
+
+// 2. Choices --------------------------------------------------------------------------------------
+
+/// What a request for a model server needs.
+struct PromptDemand {
+    std::string service{};
+    std::vector<PromptPart> parts{}; ///< The last one belongs to the request alone.
+    std::uint64_t outputTokens = 0;
+    std::string isolatedAccount{}; ///< Empty: shares parts with others.
+    Micros remaining = 0;          ///< Until the request's deadline.
+};
+
+struct EngineChoice {
+    UpstreamRef upstream{};
+    std::string salt{};
+    std::uint64_t weightsVersion = 0;
+    std::string fetchFrom{};         ///< Address of a holder of more parts than `upstream` holds; empty: none.
+    std::uint64_t missingTokens = 0; ///< Shared tokens that the upstream does not hold.
+    std::uint64_t readTokens = 0;    ///< Tokens that it is expected to read, after the transfer.
+    Micros expected = 0;             ///< Estimated time to the first token.
+};
+
+enum class RefusalReason : std::uint8_t {
+    NoUpstream, ///< None is listed, or all are closed.
+    Full,       ///< None has room in time.
+};
+
+template<>
+struct EnumNames<RefusalReason> {
+    static constexpr std::array rows{
+        EnumName{ RefusalReason::NoUpstream, "no_upstream" },
+        EnumName{ RefusalReason::Full, "full" },
+    };
+};
+
+/// What an attempt at an upstream came to, for its health.
+enum class AttemptResult : std::uint8_t {
+    Served,
+    Failed,      ///< A server error, a broken or wrong answer, or silence.
+    Rejected,    ///< It said that it has not run the request.
+    Unreachable, ///< No connection.
+    Abandoned,   ///< Given up for a reason that says nothing of the upstream.
+};
+
+template<>
+struct EnumNames<AttemptResult> {
+    static constexpr std::array rows{
+        EnumName{ AttemptResult::Served, "served" },       EnumName{ AttemptResult::Failed, "failed" },
+        EnumName{ AttemptResult::Rejected, "rejected" },   EnumName{ AttemptResult::Unreachable, "unreachable" },
+        EnumName{ AttemptResult::Abandoned, "abandoned" },
+    };
+};
+
+// 3. UpstreamTable --------------------------------------------------------------------------------
+
+/// Where this process stands, and which region each zone belongs to.
+struct Locality {
+    std::string zone{};
+    std::map<std::string, std::string, std::less<>> regionOfZone{};
+};
+
+enum class Distance : std::uint8_t { SameZone, SameRegion, OtherRegion };
+
+/// Not thread-safe.
+class UpstreamTable
+{
+public:
+    UpstreamTable(Locality locality, std::uint64_t seed);
+
+    void update(UpstreamRecord record, Micros now);
+    /// The record left the platform's list.
+    void remove(std::string_view id, Micros now);
+    /// The agent at \p ip reported. Returns false when no engine is known there.
+    bool noteEngine(std::string_view ip, const EngineLoad &load, Micros now);
+    void noteCached(std::string_view ip, std::string_view salt, std::string_view partId, bool held, Micros now);
+    /// The agent's record of the cache starts anew.
+    void clearCached(std::string_view ip);
+
+    /// \p tried are upstreams that the request has been sent to.
+    [[nodiscard]] UpstreamRef choosePlain(const Service &service, std::span<const UpstreamRef> tried, Micros now);
+    [[nodiscard]] std::variant<EngineChoice, RefusalReason> chooseEngine(const PromptDemand &demand, const Service &service, const Service *store,
+                                                                         std::span<const UpstreamRef> tried, Micros now);
+
+    /// A request was handed to an upstream; \p readTokens and \p memoryTokens are 0 for plain services.
+    void began(Upstream &upstream, std::uint64_t readTokens, std::uint64_t memoryTokens);
+    /// It produced its first token: what it had to read has been read.
+    void firstToken(Upstream &upstream, std::uint64_t readTokens);
+    void ended(Upstream &upstream, AttemptResult result, Micros elapsed, Micros now);
+
+    /// The parts of a request are cached at \p upstream now.
+    void notePrompt(const Upstream &upstream, std::string_view salt, std::span<const PromptPart> parts, Micros now);
+    void noteReading(const Upstream &upstream, std::string_view salt, std::span<const PromptPart> parts, Micros now);
+
+    [[nodiscard]] Distance distanceTo(std::string_view zone) const;
+    [[nodiscard]] const std::map<std::string, UpstreamRef, std::less<>> &byId() const;
+    [[nodiscard]] std::size_t readyCount(std::string_view service) const;
+    [[nodiscard]] const PromptDirectory &directory() const;
+
+private:
+    [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
+    [[nodiscard]] UpstreamRef engineAt(std::string_view ip) const;
+    [[nodiscard]] double distancePenalty(std::string_view zone) const;
+    struct Fetch;
+    [[nodiscard]] Fetch bestFetch(const Upstream &target, std::span<const PartKey> keys, std::span<const std::uint32_t> tokens, std::size_t held,
+                                  const EngineTraits &engine) const;
+
+    Locality locality_;
+    std::mt19937_64 random_;
+    std::map<std::string, UpstreamRef, std::less<>> byId_;
+    std::vector<UpstreamRef> byNumber_;
+    PromptDirectory directory_;
+};
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/caller_connection.cpp
@@ -0,0 +1,232 @@
+#include "caller_connection.h"
+
+#include <utility>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+ReaderLimits readerLimits(const CallerLimits &limits)
+{
+    return { .maxHeaderBytes = limits.maxHeaderBytes, .maxBodyBytes = limits.maxBodyBytes };
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(CallerConnectionOptions options)
+    : options_(std::move(options))
+    , reader_(readerLimits(options_.limits))
+{
+}
+
+CallerConnection::~CallerConnection()
+{
+    if (channel_) {
+        channel_->abort();
+    }
+}
+
+void CallerConnection::open(Micros now)
+{
+    waitingSince_ = now;
+    lastBytesAt_ = now;
+    channel_ = Channel::adopt(options_.descriptor,
+                              { .onData =
+                                    [this] {
+                                        lastBytesAt_ = monotonicNow();
+                                        readRequests();
+                                    },
+                                .onEnd = [this](ChannelEnd) { close(); },
+                                .maxInput = static_cast<std::size_t>(options_.limits.maxBodyBytes) + (std::size_t{ 1 } << 20U) });
+}
+
+void CallerConnection::readRequests()
+{
+    const std::shared_ptr<CallerConnection> keep = shared_from_this();
+    // A response that is written at once comes back here through finishResponse(); the loop below goes on then.
+    if (std::exchange(reading_, true)) {
+        return;
+    }
+    while (!busy_ && !closed_ && channel_->isOpen() && !channel_->input().empty()) {
+        if (!reader_.hasStarted()) {
+            waitingSince_ = monotonicNow();
+        }
+        const ReadProgress progress = reader_.read(channel_->input());
+        if (progress == ReadProgress::NeedsMore) {
+            if (reader_.hasHead() && !continued_) {
+                continued_ = true;
+                if (const auto expect = findField(reader_.head().fields, "Expect"); expect && equalsIgnoringCase(*expect, "100-continue")) {
+                    channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
+                }
+            }
+            break;
+        }
+        switch (progress) {
+        case ReadProgress::Complete:
+            break;
+        case ReadProgress::HeadTooLarge:
+            reject(431, "head_too_large");
+            break;
+        case ReadProgress::BodyTooLarge:
+            reject(413, "body_too_large");
+            break;
+        default:
+            reject(400, "malformed_request");
+            break;
+        }
+        if (progress != ReadProgress::Complete) {
+            break;
+        }
+        busy_ = true;
+        RequestHead head = reader_.head();
+        keep_ = head.keepsConnection;
+        std::string body = reader_.takeBody();
+        reader_ = RequestReader(readerLimits(options_.limits));
+        continued_ = false;
+        options_.onRequest(keep, std::move(head), std::move(body));
+    }
+    reading_ = false;
+}
+
+void CallerConnection::reject(unsigned status, std::string_view reason)
+{
+    keep_ = false;
+    busy_ = true;
+    options_.onRejected(*this, reason);
+    respond(status, {}, {});
+}
+
+void CallerConnection::respond(unsigned status, const std::vector<HeaderField> &fields, std::string_view body)
+{
+    if (closed_) {
+        return;
+    }
+    std::string out = "HTTP/1.1 " + std::to_string(status);
+    out.append(" ").append(reasonOf(status)).append("\r\n");
+    for (const HeaderField &field : fields) {
+        appendField(out, field.name, field.value);
+    }
+    appendField(out, "Content-Length", std::to_string(body.size()));
+    keep_ = keep_ && !closing_;
+    if (!keep_) {
+        appendField(out, "Connection", "close");
+    }
+    out.append("\r\n").append(body);
+    channel_->write(out);
+    finishResponse();
+}
+
+void CallerConnection::startStream(unsigned status, const std::vector<HeaderField> &fields)
+{
+    if (closed_) {
+        return;
+    }
+    std::string out = "HTTP/1.1 " + std::to_string(status);
+    out.append(" ").append(reasonOf(status)).append("\r\n");
+    for (const HeaderField &field : fields) {
+        appendField(out, field.name, field.value);
+    }
+    appendField(out, "Transfer-Encoding", "chunked");
+    keep_ = keep_ && !closing_;
+    if (!keep_) {
+        appendField(out, "Connection", "close");
+    }
+    out.append("\r\n");
+    channel_->write(out);
+}
+
+void CallerConnection::sendStream(std::string_view data)
+{
+    if (closed_ || data.empty()) {
+        return;
+    }
+    std::string out;
+    appendChunk(out, data);
+    channel_->write(out);
+}
+
+void CallerConnection::finishStream()
+{
+    if (closed_) {
+        return;
+    }
+    channel_->write(LastChunk);
+    finishResponse();
+}
+
+void CallerConnection::finishResponse()
+{
+    busy_ = false;
+    waitingSince_ = monotonicNow();
+    lastBytesAt_ = waitingSince_;
+    if (!keep_) {
+        channel_->close();
+        close();
+        return;
+    }
+    readRequests();
+}
+
+void CallerConnection::breakOff()
+{
+    if (closed_) {
+        return;
+    }
+    // An orderly end without the last chunk is incomplete too, and the caller still gets what was sent before.
+    channel_->close();
+    close();
+}
+
+void CallerConnection::beginShutdown()
+{
+    closing_ = true;
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!busy_ && !reader_.hasStarted() && !closed_) {
+        channel_->close();
+        close();
+    }
+}
+
+void CallerConnection::checkTimeouts(Micros now)
+{
+    if (busy_ || closed_) {
+        return;
+    }
+    if (!reader_.hasStarted()) {
+        if (now - waitingSince_ > options_.limits.idleTimeout) {
+            channel_->close();
+            close();
+        }
+        return;
+    }
+    const bool headLate = !reader_.hasHead() && now - waitingSince_ > options_.limits.headerTimeout;
+    if (headLate || now - lastBytesAt_ > options_.limits.idleTimeout) {
+        reject(408, headLate ? "header_timeout" : "body_timeout");
+    }
+}
+
+bool CallerConnection::isBusy() const
+{
+    return busy_ || reader_.hasStarted();
+}
+
+bool CallerConnection::isClosed() const
+{
+    return closed_;
+}
+
+void CallerConnection::close()
+{
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    const std::shared_ptr<CallerConnection> keep = shared_from_this();
+    options_.onClosed(*this);
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/exchange.cpp
@@ -0,0 +1,527 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+/// Pauses that refusals suggest. Loading weights takes 0.4 s; a process that has just started knows its installation within 0.5 s.
+constexpr Micros RetryAfterStart = 500 * MicrosPerMilli;
+constexpr Micros RetryAfterLoading = 400 * MicrosPerMilli;
+constexpr Micros RetryAfterFull = 600 * MicrosPerMilli;
+constexpr Micros RetryAfterRejected = 150 * MicrosPerMilli;
+
+/// A repeatable call that has not been answered in this share of its target is sent elsewhere, while the target can be met.
+constexpr double SilenceShareOfTarget = 0.6;
+constexpr Micros LeastSilence = 100 * MicrosPerMilli;
+/// A resumable stream goes on elsewhere after such a silence. Callers abandon a stream after two seconds or more.
+constexpr Micros StreamSilence = 1200 * MicrosPerMilli;
+
+/// Time that an answer needs back to the caller; an upstream stops that much earlier.
+constexpr Micros ReturnMargin = 20 * MicrosPerMilli;
+
+std::string formatSeconds(Micros time)
+{
+    std::array<char, 32> text{};
+    const int size = std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(time) / MicrosPerSecond);
+    return { text.data(), static_cast<std::size_t>(std::max(0, size)) };
+}
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+/// One try at one upstream.
+struct Exchange::Attempt {
+    UpstreamRef upstream;
+    std::shared_ptr<UpstreamCall> call;
+    EngineChoice choice; ///< Of a model server.
+    Micros startedAt = 0;
+    Micros lastEventAt = 0;
+    bool readCounted = false; ///< The engine still has to read the prompt.
+};
+
+Exchange::Exchange(ExchangeOptions options)
+    : options_(std::move(options))
+{
+}
+
+Exchange::~Exchange() = default;
+
+const CallerConnection *Exchange::caller() const
+{
+    return options_.caller.get();
+}
+
+void Exchange::begin(Micros now)
+{
+    arrivedAt_ = now;
+    if (!options_.context->codec->decodeRequest(options_.head, request_)) {
+        fail(400, "malformed_header");
+        return;
+    }
+    if (!options_.routes) {
+        refuse(503, "no_configuration", RetryAfterStart);
+        return;
+    }
+    route_ = options_.routes->find(request_.host, options_.head.target);
+    if (route_ == nullptr) {
+        fail(404, "no_route");
+        return;
+    }
+    if (route_->needsKey && !options_.routes->config().accounts.empty()) {
+        account_ = options_.routes->accountOf(request_.key);
+        if (account_ == nullptr) {
+            fail(401, "unknown_key");
+            return;
+        }
+    }
+    if (options_.refuseNew) {
+        refuse(503, "stopping", RetryAfterRejected);
+        return;
+    }
+    service_ = options_.routes->service(chooseService());
+    if (service_ == nullptr) {
+        refuse(503, "unknown_service", RetryAfterStart);
+        return;
+    }
+    options_.context->repeats->noteRequest(service_->name, now);
+    Micros patience = route_->timeout > 0 ? route_->timeout : 60 * MicrosPerSecond;
+    if (request_.patience) {
+        patience = std::min(patience, *request_.patience);
+    }
+    deadline_ = now + patience;
+    lastEventId_ = request_.resumeAfter;
+    deadlineTimer_.startOnce(patience, [this] { onDeadline(); });
+    attempt();
+}
+
+std::string Exchange::chooseService() const
+{
+    double total = 0.0;
+    for (const RouteTarget &target : route_->targets) {
+        total += target.weight;
+    }
+    double drawn = std::uniform_real_distribution<double>(0.0, std::max(total, 1e-9))(*options_.context->random);
+    for (const RouteTarget &target : route_->targets) {
+        drawn -= target.weight;
+        if (drawn < 0.0 && target.weight > 0.0) {
+            return target.service;
+        }
+    }
+    return route_->targets.empty() ? std::string() : route_->targets.back().service;
+}
+
+Micros Exchange::retryDelay(Micros base) const
+{
+    // Spread over half to one and a half times the pause, so that refused callers do not return together.
+    const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(*options_.context->random);
+    const auto delay = static_cast<Micros>(static_cast<double>(base) * factor);
+    // Callers honour at most a third of the time that they have left.
+    const Micros left = request_.patience ? arrivedAt_ + *request_.patience - monotonicNow() : delay * 3;
+    return std::clamp<Micros>(delay, 0, std::max<Micros>(0, left / 3));
+}
+
+void Exchange::attempt()
+{
+    const Micros now = monotonicNow();
+    const Micros remaining = deadline_ - now - ReturnMargin;
+    if (remaining <= 0) {
+        onDeadline();
+        return;
+    }
+    UpstreamInstructions instructions{
+        .instance = {},
+        .account = account_ != nullptr ? account_->name : std::string(),
+        .remaining = remaining,
+        .priority = std::nullopt,
+        .cacheSalt = {},
+        .fetchFrom = {},
+        .saveTo = {},
+        .resumeAfter = lastEventId_,
+    };
+    auto next = std::make_unique<Attempt>();
+    if (service_->engine && !request_.parts.empty()) {
+        const std::uint32_t rank = account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
+        instructions.priority = rank;
+        const PromptDemand demand{ .service = service_->name,
+                                   .parts = request_.parts,
+                                   .outputTokens = request_.outputTokens,
+                                   .isolatedAccount = account_ != nullptr && account_->isolated ? account_->name : std::string(),
+                                   .remaining = remaining };
+        auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, options_.routes->cacheStore(), tried_, now);
+        if (const auto *const reason = std::get_if<RefusalReason>(&chosen)) {
+            if (verdict_ != Verdict::NotRun) {
+                fail(502, nameOf(*reason));
+            } else {
+                refuse(503, nameOf(*reason), *reason == RefusalReason::Full ? RetryAfterFull : RetryAfterLoading);
+            }
+            return;
+        }
+        next->choice = std::get<EngineChoice>(std::move(chosen));
+        next->upstream = next->choice.upstream;
+        instructions.cacheSalt = next->choice.salt;
+        instructions.weightsVersion = next->choice.weightsVersion;
+        instructions.fetchFrom = next->choice.fetchFrom;
+    } else {
+        next->upstream = options_.context->upstreams->choosePlain(*service_, tried_, now);
+        if (!next->upstream) {
+            if (verdict_ != Verdict::NotRun) {
+                fail(502, "no_upstream");
+            } else {
+                refuse(503, "no_upstream", RetryAfterStart);
+            }
+            return;
+        }
+    }
+    attempt_ = std::move(next);
+    send(attempt_->upstream, instructions);
+}
+
+void Exchange::send(UpstreamRef upstream, const UpstreamInstructions &given)
+{
+    const Micros now = monotonicNow();
+    UpstreamInstructions instructions = given;
+    instructions.instance = upstream->record.id;
+    std::string bytes = options_.context->codec->encodeRequest(options_.head, instructions, options_.body.size());
+    bytes.append(options_.body);
+    Attempt &current = *attempt_;
+    current.startedAt = now;
+    current.lastEventAt = now;
+    current.readCounted = current.choice.upstream != nullptr;
+    const std::uint64_t memory = current.readCounted ? request_.promptTokens + request_.outputTokens : 0;
+    options_.context->upstreams->began(*upstream, current.choice.readTokens, memory);
+    if (current.readCounted) {
+        options_.context->upstreams->noteReading(*upstream, current.choice.salt, request_.parts, now);
+    }
+    events_ = {};
+    body_.clear();
+    current.call = std::make_shared<UpstreamCall>(UpstreamCallOptions{ .pool = options_.context->pool,
+                                                                       .codec = options_.context->codec,
+                                                                       .upstream = upstream,
+                                                                       .requestId = request_.id,
+                                                                       .bytes = std::move(bytes),
+                                                                       .preferNewConnection = false,
+                                                                       .onHead = [this] { onHead(); },
+                                                                       .onBody = [this] { onBody(); },
+                                                                       .onEnd = [this](CallEnd end) { onEnd(end); } });
+    const std::shared_ptr<UpstreamCall> call = current.call;
+    if (!call->start(now)) {
+        onAttemptFailed(Verdict::NotRun, AttemptResult::Unreachable, "no_connection");
+        return;
+    }
+    ++sent_;
+    armSilenceTimer();
+}
+
+void Exchange::armSilenceTimer()
+{
+    if (!route_->isRepeatable()) {
+        return;
+    }
+    Micros limit = StreamSilence;
+    if (route_->kind == RequestKind::Idempotent) {
+        limit = std::max(LeastSilence, static_cast<Micros>(static_cast<double>(route_->targetLatency) * SilenceShareOfTarget));
+    }
+    silenceTimer_.startOnce(limit, [this] { onSilence(); });
+}
+
+void Exchange::onSilence()
+{
+    const Micros now = monotonicNow();
+    if (route_->kind == RequestKind::Streaming) {
+        const Micros silentFor = now - attempt_->lastEventAt;
+        if (silentFor < StreamSilence) {
+            silenceTimer_.startOnce(StreamSilence - silentFor, [this] { onSilence(); });
+            return;
+        }
+    }
+    if (sent_ >= route_->maxAttempts || options_.context->upstreams->readyCount(service_->name) < 2 || !options_.context->repeats->take(service_->name, now)) {
+        return;
+    }
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    logEvent(LogLevel::Info, "attempt_abandoned",
+             { { "id", request_.id },
+               { "upstream", attempt_->upstream->record.id },
+               { "reason", "silent" },
+               { "silent_ms", (now - attempt_->lastEventAt) / MicrosPerMilli } });
+    verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    tried_.push_back(attempt_->upstream);
+    // The upstream drops the request with the connection, before the next one begins on it.
+    attempt_->call->cancel();
+    endAttempt(AttemptResult::Failed);
+    attempt();
+}
+
+bool Exchange::mayRepeat(Verdict lastVerdict, Micros now)
+{
+    if (lastVerdict != Verdict::NotRun && !route_->isRepeatable()) {
+        return false;
+    }
+    return sent_ < route_->maxAttempts && deadline_ - now > 2 * ReturnMargin && options_.context->repeats->take(service_->name, now);
+}
+
+void Exchange::onHead()
+{
+    const ResponseHead &head = attempt_->call->head();
+    const UpstreamResponse &response = attempt_->call->response();
+    if (response.weightsVersion && attempt_->choice.upstream && isSuccess(head.status)) {
+        attempt_->upstream->record.weightsVersion = std::max(attempt_->upstream->record.weightsVersion, *response.weightsVersion);
+    }
+}
+
+void Exchange::onBody()
+{
+    const ResponseHead &head = attempt_->call->head();
+    const UpstreamResponse &response = attempt_->call->response();
+    if (route_->kind == RequestKind::Streaming && isSuccess(head.status) && response.authentic && !response.encoded) {
+        forwardEvents();
+        return;
+    }
+    body_ += attempt_->call->takeBody();
+}
+
+void Exchange::forwardEvents()
+{
+    if (!events_.add(attempt_->call->takeBody())) {
+        attempt_->call->cancel();
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "event_too_long");
+        return;
+    }
+    const Micros now = monotonicNow();
+    std::string out;
+    while (auto event = events_.next()) {
+        if (attempt_->readCounted) {
+            attempt_->readCounted = false;
+            options_.context->upstreams->firstToken(*attempt_->upstream, attempt_->choice.readTokens);
+            options_.context->upstreams->notePrompt(*attempt_->upstream, attempt_->choice.salt, request_.parts, now);
+        }
+        if (event->id) {
+            lastEventId_ = *event->id;
+        }
+        attempt_->lastEventAt = now;
+        out += event->text;
+    }
+    if (out.empty()) {
+        return;
+    }
+    if (!streamStarted_) {
+        streamStarted_ = true;
+        firstEventAt_ = now;
+        options_.context->metrics->observe("carobhall_first_event_seconds", "route=\"" + route_->name + "\"", now - arrivedAt_);
+        options_.caller->startStream(attempt_->call->head().status, answerFields(attempt_->call->head()));
+    }
+    options_.caller->sendStream(out);
+}
+
+void Exchange::onEnd(CallEnd end)
+{
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    const ResponseHead &head = attempt_->call->head();
+    const UpstreamResponse &response = attempt_->call->response();
+    if (end == CallEnd::NotSent) {
+        --sent_;
+        onAttemptFailed(Verdict::NotRun, AttemptResult::Unreachable, "not_sent");
+        return;
+    }
+    if (end == CallEnd::Broken) {
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "broken_response");
+        return;
+    }
+    if (response.rejected || response.misdirected) {
+        onAttemptFailed(Verdict::NotRun, AttemptResult::Rejected, response.misdirected ? "misdirected" : "rejected");
+        return;
+    }
+    if (!response.authentic || response.encoded) {
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, response.encoded ? "encoded_response" : "not_authentic");
+        return;
+    }
+    if (route_->kind == RequestKind::Streaming && isSuccess(head.status)) {
+        onStreamEnd();
+        return;
+    }
+    verdict_ = Verdict::Ran;
+    if (head.status >= 500 && route_->kind == RequestKind::Idempotent) {
+        const Micros now = monotonicNow();
+        tried_.push_back(attempt_->upstream);
+        if (options_.context->upstreams->readyCount(service_->name) > 1 && mayRepeat(Verdict::Ran, now)) {
+            logEvent(LogLevel::Info, "attempt_repeated",
+                     { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "reason", "server_error" }, { "status", head.status } });
+            // A server's own error says little of its health: some kinds of request fail by themselves.
+            endAttempt(AttemptResult::Served);
+            attempt();
+            return;
+        }
+    }
+    deliver();
+}
+
+void Exchange::onStreamEnd()
+{
+    if (!streamStarted_ || events_.hasRest()) {
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "stream_without_end");
+        return;
+    }
+    verdict_ = Verdict::Ran;
+    const unsigned status = attempt_->call->head().status;
+    options_.caller->finishStream();
+    endAttempt(AttemptResult::Served);
+    done(status, "served");
+}
+
+void Exchange::onAttemptFailed(Verdict verdict, AttemptResult result, std::string_view reason)
+{
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    const Micros now = monotonicNow();
+    const UpstreamRef upstream = attempt_->upstream;
+    logEvent(LogLevel::Info, "attempt_failed",
+             { { "id", request_.id },
+               { "upstream", upstream->record.id },
+               { "reason", reason },
+               { "verdict", verdict },
+               { "after_ms", (now - attempt_->startedAt) / MicrosPerMilli },
+               { "kept_connection", attempt_->call->usedIdleConnection() },
+               { "sent", sent_ } });
+    options_.context->metrics->count("carobhall_attempts_failed_total", "reason=\"" + std::string(reason) + "\"");
+    verdict_ = combine(verdict_, verdict);
+    endAttempt(result);
+    const bool sent = result != AttemptResult::Unreachable;
+    tried_.push_back(upstream);
+    if (!sent) {
+        // Nothing arrived there, so that no attempt was used; the list only keeps the upstream from being chosen again.
+        const std::size_t unreachable = tried_.size();
+        if (unreachable < 4 && deadline_ - now > 2 * ReturnMargin && options_.context->upstreams->readyCount(service_->name) > 1) {
+            attempt();
+            return;
+        }
+    } else if (options_.context->upstreams->readyCount(service_->name) > 1 && mayRepeat(verdict, now)) {
+        attempt();
+        return;
+    }
+    if (streamStarted_) {
+        options_.caller->breakOff();
+        done(0, "stream_broken");
+    } else if (verdict_ == Verdict::NotRun) {
+        refuse(503, reason, RetryAfterRejected);
+    } else {
+        fail(502, reason);
+    }
+}
+
+void Exchange::endAttempt(AttemptResult result)
+{
+    silenceTimer_.stop();
+    if (!attempt_) {
+        return;
+    }
+    const Micros now = monotonicNow();
+    if (attempt_->readCounted) {
+        options_.context->upstreams->firstToken(*attempt_->upstream, attempt_->choice.readTokens);
+    }
+    options_.context->upstreams->ended(*attempt_->upstream, result, now - attempt_->startedAt, now);
+    attempt_->readCounted = false;
+}
+
+std::vector<HeaderField> Exchange::answerFields(const ResponseHead &head) const
+{
+    std::vector<HeaderField> fields;
+    for (const HeaderField &field : head.fields) {
+        if (!isHopByHop(head.fields, field.name) && !equalsIgnoringCase(field.name, "Content-Length")) {
+            fields.push_back(field);
+        }
+    }
+    return fields;
+}
+
+void Exchange::deliver()
+{
+    const unsigned status = attempt_->call->head().status;
+    options_.caller->respond(status, answerFields(attempt_->call->head()), body_);
+    endAttempt(AttemptResult::Served);
+    done(status, isSuccess(status) ? "served" : "upstream_error");
+}
+
+void Exchange::refuse(unsigned status, std::string_view reason, Micros retryAfter)
+{
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    options_.caller->respond(status, { { "Retry-After", formatSeconds(retryDelay(retryAfter)) } }, {});
+    done(status, reason);
+}
+
+void Exchange::fail(unsigned status, std::string_view reason)
+{
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    options_.caller->respond(status, {}, {});
+    done(status, reason);
+}
+
+void Exchange::onDeadline()
+{
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    const bool sent = attempt_ && attempt_->call;
+    if (sent) {
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+        attempt_->call->cancel();
+        endAttempt(AttemptResult::Abandoned);
+    }
+    if (streamStarted_) {
+        options_.caller->breakOff();
+        done(0, "deadline");
+    } else if (verdict_ == Verdict::NotRun) {
+        refuse(503, "deadline", RetryAfterFull);
+    } else {
+        fail(504, "deadline");
+    }
+}
+
+void Exchange::callerLeft()
+{
+    if (over_) {
+        return;
+    }
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    if (attempt_ && attempt_->call) {
+        attempt_->call->cancel();
+        endAttempt(AttemptResult::Abandoned);
+    }
+    done(0, "caller_left");
+}
+
+void Exchange::done(unsigned status, std::string_view outcome)
+{
+    if (std::exchange(over_, true)) {
+        return;
+    }
+    deadlineTimer_.stop();
+    silenceTimer_.stop();
+    const Micros now = monotonicNow();
+    const std::string route = route_ != nullptr ? route_->name : std::string("-");
+    logEvent(LogLevel::Info, "request_done",
+             { { "id", request_.id },
+               { "route", route },
+               { "account", account_ != nullptr ? account_->name : std::string("-") },
+               { "status", status },
+               { "outcome", outcome },
+               { "verdict", verdict_ },
+               { "upstream", attempt_ ? attempt_->upstream->record.id : std::string("-") },
+               { "sent", sent_ },
+               { "missing_tokens", attempt_ ? attempt_->choice.missingTokens : 0 },
+               { "fetch", attempt_ ? attempt_->choice.fetchFrom : std::string() },
+               { "weights", attempt_ ? attempt_->choice.weightsVersion : 0 },
+               { "expected_ms", attempt_ ? attempt_->choice.expected / MicrosPerMilli : 0 },
+               { "first_ms", firstEventAt_ > 0 ? (firstEventAt_ - arrivedAt_) / MicrosPerMilli : -1 },
+               { "total_ms", (now - arrivedAt_) / MicrosPerMilli },
+               { "config", options_.routes ? options_.routes->config().version : 0 } });
+    options_.context->metrics->count("carobhall_requests_total", "route=\"" + route + "\",outcome=\"" + std::string(outcome) + "\"");
+    options_.context->metrics->observe("carobhall_request_seconds", "route=\"" + route + "\"", now - arrivedAt_);
+    options_.onDone(*this);
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/gateway.cpp
@@ -0,0 +1,361 @@
+#include "carobhall/gateway.h"
+
+#include "exchange.h"
+#include "sidecar_links.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Of the platform client, timeouts and links.
+
+/// After SIGTERM the platform still sends connections until it has missed two readiness checks a second apart; a zone without
+/// other gateways gets them even longer.
+constexpr Micros KeepAccepting = 3 * MicrosPerSecond;
+/// Left for the last answers before the process is killed.
+constexpr Micros StopReserve = 700 * MicrosPerMilli;
+/// Share of the grace period in which new requests are still served: a stream takes up to some seconds.
+constexpr double ServeShareOfGrace = 0.55;
+
+} // namespace
+
+FleetKeys installationKeys(const std::string &platformAddress)
+{
+    FleetKeys keys;
+    FleetKeys::Entry entry{ .id = 1 };
+    const std::string text = "carobhall " + platformAddress;
+    crypto_generichash(entry.key.data(), entry.key.size(), reinterpret_cast<const unsigned char *>(text.data()), text.size(), nullptr, 0);
+    keys.entries.push_back(entry);
+    return keys;
+}
+
+struct Gateway::Impl {
+    explicit Impl(GatewayOptions gatewayOptions);
+
+    std::error_code start();
+    void beginShutdown();
+    void tick();
+    void checkStop(Micros now);
+    void onAccept(int descriptor);
+    void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
+    void onCallerClosed(CallerConnection &caller);
+    bool adoptConfig(const Json::Value &spec, std::string_view source);
+    void onUpstream(const PlatformObject &object, Micros now);
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] bool refusesNew(Micros now) const;
+    static void onReadiness(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer self);
+
+    GatewayOptions options;
+    Metrics metrics;
+    std::mt19937_64 random;
+    UpstreamTable upstreams;
+    UpstreamPool pool;
+    RepeatBudget repeats;
+    ExchangeContext context;
+    std::shared_ptr<const RouteTable> routes;
+    ChannelListener listener;
+    ObjectRef<SoupServer> readiness;
+    std::unique_ptr<AdminListener> admin;
+    std::unordered_set<std::shared_ptr<CallerConnection>> callers;
+    std::unordered_set<std::shared_ptr<Exchange>> exchanges;
+    std::unique_ptr<ObjectWatcher> configWatcher;
+    std::unique_ptr<ObjectWatcher> upstreamWatcher;
+    std::unique_ptr<SidecarLinks> links;
+    Timer ticker;
+    Micros stoppingSince = 0;
+    bool stopped = false;
+    bool platformReachable = true;
+    bool wasReady = false;
+};
+
+Gateway::Impl::Impl(GatewayOptions gatewayOptions)
+    : options(std::move(gatewayOptions))
+    , random(drawIncarnation())
+    , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random())
+    , pool({})
+    , repeats({ .ratio = options.settings.repeatRatio, .allowance = options.settings.repeatAllowance, .window = options.settings.repeatWindow })
+    , context({ .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .metrics = &metrics, .codec = &options.codec, .random = &random })
+    , listener([this](int descriptor) { onAccept(descriptor); })
+    , readiness(soup_server_new("server-header", "carobhall", nullptr))
+{
+}
+
+std::error_code Gateway::Impl::start()
+{
+    soup_server_add_handler(readiness.get(), nullptr, &Impl::onReadiness, this, nullptr);
+    std::uint16_t port = 0;
+    if (const std::error_code error = listenHttp(readiness.get(), options.settings.readinessAddress, port)) {
+        return error;
+    }
+    if (const std::error_code error = listener.listen(options.settings.callerAddress)) {
+        return error;
+    }
+    if (options.settings.metricsPort != 0) {
+        admin = std::make_unique<AdminListener>(AdminListener::Options{
+            .metrics = [this] { return metrics.prometheusText(); }, .dump = [] { return Json::Value(); }, .ready = [this] { return isReady(); } });
+        if (const std::error_code error = admin->listen(options.settings.ip + ":" + std::to_string(options.settings.metricsPort))) {
+            // Serving goes on without metrics.
+            logEvent(LogLevel::Warning, "metrics_unavailable", { { "port", options.settings.metricsPort }, { "error", error } });
+            admin.reset();
+        }
+    }
+    configWatcher = std::make_unique<ObjectWatcher>(
+        *options.platform,
+        WatcherOptions{ .kind = options.sites.configKind, .name = options.sites.configName, .onObject = [this](const PlatformObject &object, Micros) {
+                           if (adoptConfig(object.spec, "platform")) {
+                               links->announce();
+                           }
+                       } });
+    upstreamWatcher = std::make_unique<ObjectWatcher>(*options.platform,
+                                                      WatcherOptions{ .kind = options.sites.upstreamKind,
+                                                                      .name = {},
+                                                                      .onObject = [this](const PlatformObject &object, Micros now) { onUpstream(object, now); },
+                                                                      .onDeleted =
+                                                                          [this](const std::string &name, Micros now) {
+                                                                              logEvent(LogLevel::Info, "upstream_gone", { { "upstream", name } });
+                                                                              upstreams.remove(name, now);
+                                                                          } });
+    links = std::make_unique<SidecarLinks>(SidecarLinksOptions{
+        .keys = installationKeys(options.settings.platformAddress),
+        .self = { .name = options.settings.name,
+                  .zone = options.settings.zone,
+                  .incarnation = drawIncarnation(),
+                  .kind = static_cast<std::uint8_t>(ProcessKind::Entry) },
+        .port = options.settings.peerPort,
+        .upstreams = &upstreams,
+        .configurationVersion = [this] { return routes ? routes->config().version : 0; },
+        .configurationText = [this] { return routes ? routes->config().text : std::string(); },
+        .onConfiguration =
+            [this](const std::string &text) {
+                if (const auto spec = parseJson(text)) {
+                    adoptConfig(*spec, "peer");
+                }
+            },
+        .onGateways =
+            [this](std::uint32_t gateways) {
+                context.gateways = std::max<std::uint32_t>(1, gateways);
+                repeats.setGateways(context.gateways);
+            },
+    });
+    ticker.startRepeating(TickInterval, [this] { tick(); });
+    tick();
+    logEvent(LogLevel::Info, "started", { { "callers", options.settings.callerAddress }, { "zone", options.settings.zone } });
+    return {};
+}
+
+void Gateway::Impl::tick()
+{
+    const Micros now = monotonicNow();
+    options.platform->tick(now);
+    configWatcher->tick(now);
+    upstreamWatcher->tick(now);
+    links->tick(routes.get(), now);
+    pool.expire(now);
+    // A copy, because a timeout removes its connection.
+    const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+    for (const std::shared_ptr<CallerConnection> &caller : all) {
+        caller->checkTimeouts(now);
+    }
+    if (const bool reachable = options.platform->available(); reachable != platformReachable) {
+        platformReachable = reachable;
+        logEvent(LogLevel::Warning, reachable ? "platform_regained" : "platform_lost", { { "address", options.settings.platformAddress } });
+    }
+    if (const bool ready = isReady(); ready != wasReady) {
+        wasReady = ready;
+        logEvent(LogLevel::Info, "readiness",
+                 { { "ready", ready }, { "config", routes ? routes->config().version : 0 }, { "upstreams", upstreams.readyCount({}) } });
+    }
+    checkStop(now);
+}
+
+bool Gateway::Impl::isReady() const
+{
+    return stoppingSince == 0 && routes && upstreams.readyCount({}) > 0;
+}
+
+bool Gateway::Impl::refusesNew(Micros now) const
+{
+    return stoppingSince != 0 && now - stoppingSince > static_cast<Micros>(static_cast<double>(options.settings.stopGrace) * ServeShareOfGrace);
+}
+
+void Gateway::Impl::beginShutdown()
+{
+    if (stoppingSince != 0) {
+        return;
+    }
+    stoppingSince = monotonicNow();
+    logEvent(LogLevel::Info, "stopping", { { "requests", exchanges.size() }, { "connections", callers.size() } });
+    for (const std::shared_ptr<CallerConnection> &caller : callers) {
+        caller->beginShutdown();
+    }
+}
+
+void Gateway::Impl::checkStop(Micros now)
+{
+    if (stoppingSince == 0 || stopped) {
+        return;
+    }
+    const Micros elapsed = now - stoppingSince;
+    const bool late = elapsed > options.settings.stopGrace - StopReserve;
+    if (elapsed < KeepAccepting || (!exchanges.empty() && !late)) {
+        return;
+    }
+    const bool allIdle = std::ranges::none_of(callers, [](const auto &caller) { return caller->isBusy(); });
+    if (!allIdle && !late) {
+        return;
+    }
+    stopped = true;
+    listener.stop();
+    const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+    for (const std::shared_ptr<CallerConnection> &caller : all) {
+        caller->closeIfIdle();
+    }
+    logEvent(LogLevel::Info, "stopped", { { "requests_cut", exchanges.size() }, { "after_ms", elapsed / MicrosPerMilli } });
+    // One more turn of the main loop sends what the closed connections still hold.
+    ticker.startOnce(100 * MicrosPerMilli, [this] { options.onStopped(); });
+}
+
+void Gateway::Impl::onAccept(int descriptor)
+{
+    const auto caller = std::make_shared<CallerConnection>(CallerConnectionOptions{
+        .descriptor = descriptor,
+        .limits = routes ? routes->config().limits : CallerLimits{},
+        .onRequest = [this](const std::shared_ptr<CallerConnection> &from, RequestHead head,
+                            std::string body) { onRequest(from, std::move(head), std::move(body)); },
+        .onRejected =
+            [this](CallerConnection &, std::string_view reason) {
+                metrics.count("carobhall_rejected_messages_total", "reason=\"" + std::string(reason) + "\"");
+                logEvent(LogLevel::Info, "message_rejected", { { "reason", reason } });
+            },
+        .onClosed = [this](CallerConnection &closed) { onCallerClosed(closed); },
+    });
+    callers.insert(caller);
+    if (stoppingSince != 0) {
+        caller->beginShutdown();
+    }
+    caller->open(monotonicNow());
+}
+
+void Gateway::Impl::onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body)
+{
+    const Micros now = monotonicNow();
+    const auto exchange = std::make_shared<Exchange>(ExchangeOptions{ .context = &context,
+                                                                      .routes = routes,
+                                                                      .caller = caller,
+                                                                      .head = std::move(head),
+                                                                      .body = std::move(body),
+                                                                      .refuseNew = refusesNew(now),
+                                                                      .onDone = [this](Exchange &done) { exchanges.erase(done.shared_from_this()); } });
+    exchanges.insert(exchange);
+    exchange->begin(now);
+}
+
+void Gateway::Impl::onCallerClosed(CallerConnection &caller)
+{
+    std::vector<std::shared_ptr<Exchange>> left;
+    for (const std::shared_ptr<Exchange> &exchange : exchanges) {
+        if (exchange->caller() == &caller) {
+            left.push_back(exchange);
+        }
+    }
+    callers.erase(caller.shared_from_this());
+    for (const std::shared_ptr<Exchange> &exchange : left) {
+        exchange->callerLeft();
+    }
+}
+
+bool Gateway::Impl::adoptConfig(const Json::Value &spec, std::string_view source)
+{
+    std::optional<SiteConfig> config = options.sites.decodeConfig(spec);
+    if (!config) {
+        logEvent(LogLevel::Error, "configuration_unreadable", { { "source", source } });
+        return false;
+    }
+    const std::uint64_t current = routes ? routes->config().version : 0;
+    if (config->version <= current) {
+        return false;
+    }
+    config->text = writeJson(spec);
+    logEvent(LogLevel::Info, "configuration_in_effect",
+             { { "version", config->version },
+               { "before", current },
+               { "source", source },
+               { "routes", config->routes.size() },
+               { "accounts", config->accounts.size() } });
+    routes = std::make_shared<RouteTable>(std::move(*config));
+    return true;
+}
+
+void Gateway::Impl::onUpstream(const PlatformObject &object, Micros now)
+{
+    std::optional<UpstreamRecord> record = options.sites.decodeUpstream(object);
+    if (!record) {
+        logEvent(LogLevel::Warning, "upstream_unreadable", { { "name", object.name }, { "revision", object.version } });
+        upstreams.remove(object.name, now);
+        return;
+    }
+    logEvent(LogLevel::Info, "upstream",
+             { { "upstream", record->id },
+               { "service", record->service },
+               { "address", record->address },
+               { "zone", record->zone },
+               { "draining", record->draining },
+               { "weights", record->weightsVersion },
+               { "revision", object.version } });
+    upstreams.update(std::move(*record), now);
+}
+
+void Gateway::Impl::onReadiness(SoupServer * /*server*/, SoupServerMessage *message, const char *path, GHashTable * /*query*/, gpointer self)
+{
+    const auto &impl = *static_cast<Impl *>(self);
+    const bool known = impl.options.sites.readinessPath == path;
+    const SoupStatus status = !known ? SOUP_STATUS_NOT_FOUND : impl.isReady() ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE;
+    soup_server_message_set_status(message, status, nullptr);
+    soup_server_message_set_response(message, "text/plain", SOUP_MEMORY_STATIC, "", 0);
+}
+
+Gateway::Gateway(GatewayOptions options)
+    : impl_(std::make_shared<Impl>(std::move(options)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+std::error_code Gateway::start()
+{
+    return impl_->start();
+}
+
+void Gateway::beginShutdown()
+{
+    impl_->beginShutdown();
+}
+
+Json::Value Gateway::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["requests"] = Json::UInt64(impl_->exchanges.size());
+    state["connections"] = Json::UInt64(impl_->callers.size());
+    state["idle_upstream_connections"] = Json::UInt64(impl_->pool.idleCount());
+    state["prompt_parts"] = Json::UInt64(impl_->upstreams.directory().size());
+    for (const auto &[id, upstream] : impl_->upstreams.byId()) {
+        Json::Value &entry = state["upstreams"][id];
+        entry["service"] = upstream->record.service;
+        entry["present"] = upstream->present;
+        entry["draining"] = upstream->record.draining;
+        entry["in_flight"] = upstream->inFlight;
+        entry["weights"] = Json::UInt64(upstream->weightsVersion());
+        entry["closed"] = upstream->load.closed;
+        entry["failure_share"] = upstream->failureShare;
+    }
+    return state;
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/route_table.cpp
@@ -0,0 +1,82 @@
+#include "carobhall/site.h"
+
+#include <algorithm>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+std::string lowered(std::string_view text)
+{
+    std::string result(text);
+    std::ranges::transform(result, result.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return result;
+}
+
+} // namespace
+
+RouteTable::RouteTable(SiteConfig config)
+    : config_(std::move(config))
+{
+    for (const Route &route : config_.routes) {
+        byHost_[lowered(route.host)].push_back(&route);
+    }
+    for (auto &[host, routes] : byHost_) {
+        std::ranges::stable_sort(routes, [](const Route *a, const Route *b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
+    }
+    for (const Account &account : config_.accounts) {
+        for (const std::string &key : account.keys) {
+            byKey_[key] = &account;
+        }
+    }
+    for (const Service &service : config_.services) {
+        services_[service.name] = &service;
+    }
+}
+
+const SiteConfig &RouteTable::config() const
+{
+    return config_;
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view target) const
+{
+    // A host may carry a port, which does not take part in routing.
+    const auto found = byHost_.find(lowered(host.substr(0, host.find(':'))));
+    if (found == byHost_.end()) {
+        return nullptr;
+    }
+    const std::string_view path = target.substr(0, target.find('?'));
+    for (const Route *route : found->second) {
+        if (path.starts_with(route->pathPrefix)) {
+            return route;
+        }
+    }
+    return nullptr;
+}
+
+const Account *RouteTable::accountOf(std::string_view key) const
+{
+    const auto found = byKey_.find(key);
+    return found == byKey_.end() ? nullptr : found->second;
+}
+
+const Service *RouteTable::service(std::string_view name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+const Service *RouteTable::cacheStore() const
+{
+    for (const Service &service : config_.services) {
+        if (!service.cacheStoreAddress.empty()) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -0,0 +1,141 @@
+#include "sidecar_links.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Carobhall
+{
+
+SidecarLinks::SidecarLinks(SidecarLinksOptions options)
+    : options_(std::move(options))
+    , endpoint_({ .context = nullptr,
+                  .keys = options_.keys,
+                  .self = options_.self,
+                  .onOpen =
+                      [this](ConnectionId connection, const PeerInfo &peer) {
+                          if (const auto found = ipOf_.find(connection); found != ipOf_.end()) {
+                              Link &link = links_[found->second];
+                              link.open = true;
+                              link.lastNewsAt = monotonicNow();
+                              logEvent(LogLevel::Info, "sidecar_connected", { { "ip", found->second }, { "peer", peer.name } });
+                              endpoint_.send(connection, known());
+                          }
+                      },
+                  .onMessage = [this](ConnectionId connection, Message message) { onMessage(connection, std::move(message)); },
+                  .onClosed = [this](ConnectionId connection, std::error_code error) { onClosed(connection, error); } })
+{
+}
+
+void SidecarLinks::tick(const RouteTable *routes, Micros now)
+{
+    std::set<std::string, std::less<>> wanted;
+    for (const auto &[id, upstream] : options_.upstreams->byId()) {
+        const Service *const service = routes != nullptr ? routes->service(upstream->record.service) : nullptr;
+        if (upstream->present && service != nullptr && service->engine) {
+            wanted.insert(upstream->record.address.substr(0, upstream->record.address.rfind(':')));
+        }
+    }
+    for (auto it = links_.begin(); it != links_.end();) {
+        if (wanted.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        ipOf_.erase(it->second.connection);
+        if (it->second.connection != 0) {
+            endpoint_.close(it->second.connection);
+        }
+        it = links_.erase(it);
+    }
+    for (const std::string &ip : wanted) {
+        Link &link = links_[ip];
+        if (link.connection != 0 && link.open && now - link.lastNewsAt > SilenceLimit) {
+            logEvent(LogLevel::Warning, "sidecar_silent", { { "ip", ip }, { "silent_ms", (now - link.lastNewsAt) / MicrosPerMilli } });
+            const ConnectionId old = std::exchange(link.connection, 0);
+            ipOf_.erase(old);
+            endpoint_.close(old);
+            link.open = false;
+        }
+        if (link.connection == 0 && now >= link.dialAfter) {
+            link.dialAfter = now + RedialDelay;
+            link.connection = endpoint_.dial(ip + ":" + std::to_string(options_.port));
+            ipOf_[link.connection] = ip;
+        }
+    }
+}
+
+void SidecarLinks::announce()
+{
+    for (const auto &[ip, link] : links_) {
+        if (link.open) {
+            endpoint_.send(link.connection, known());
+        }
+    }
+}
+
+KnownVersions SidecarLinks::known() const
+{
+    return { .configuration = options_.configurationVersion(), .model = model_, .weights = weights_ };
+}
+
+std::size_t SidecarLinks::openCount() const
+{
+    return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) { return entry.second.open; }));
+}
+
+void SidecarLinks::onMessage(ConnectionId connection, Message message)
+{
+    const auto found = ipOf_.find(connection);
+    if (found == ipOf_.end()) {
+        return;
+    }
+    const std::string &ip = found->second;
+    const Micros now = monotonicNow();
+    links_[ip].lastNewsAt = now;
+    if (const auto *const news = std::get_if<EngineNews>(&message)) {
+        if (news->cacheReset) {
+            options_.upstreams->clearCached(ip);
+        }
+        const EngineLoad load{ .queued = news->queued,
+                               .running = news->running,
+                               .usedTokens = news->usedTokens,
+                               .totalTokens = news->totalTokens,
+                               .weightsVersion = news->weightsVersion,
+                               .closed = news->closed };
+        options_.upstreams->noteEngine(ip, load, now);
+        for (const CacheChange &change : news->changes) {
+            options_.upstreams->noteCached(ip, change.salt, change.part, change.held, now);
+        }
+        options_.onGateways(news->gateways);
+    } else if (const auto *const known = std::get_if<KnownVersions>(&message)) {
+        if (known->configuration > options_.configurationVersion()) {
+            endpoint_.send(connection, ConfigPull{ .have = options_.configurationVersion() });
+        }
+        if (known->weights > weights_) {
+            model_ = known->model;
+            weights_ = known->weights;
+            announce();
+        }
+    } else if (std::holds_alternative<ConfigPull>(message)) {
+        endpoint_.send(connection, ConfigData{ .version = options_.configurationVersion(), .digest = {}, .text = options_.configurationText() });
+    } else if (auto *const data = std::get_if<ConfigData>(&message)) {
+        options_.onConfiguration(std::move(data->text));
+    }
+}
+
+void SidecarLinks::onClosed(ConnectionId connection, std::error_code error)
+{
+    const auto found = ipOf_.find(connection);
+    if (found == ipOf_.end()) {
+        return;
+    }
+    Link &link = links_[found->second];
+    if (link.open) {
+        logEvent(LogLevel::Warning, "sidecar_lost", { { "ip", found->second }, { "error", error } });
+    }
+    link.open = false;
+    link.connection = 0;
+    link.dialAfter = monotonicNow() + RedialDelay;
+    ipOf_.erase(found);
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/sidecar_links.h
@@ -0,0 +1,61 @@
+#pragma once
+
+// A gateway's connections to the sidecars of the model servers that it knows.
+
+#include "carobhall/gateway.h"
+#include "carobhall/upstream_table.h"
+#include "carobhall/wire.h"
+
+#include <set>
+
+namespace Carobhall
+{
+
+struct SidecarLinksOptions {
+    FleetKeys keys{};
+    PeerInfo self{};
+    std::uint16_t port = 0;
+    UpstreamTable *upstreams = nullptr;
+    std::function<std::uint64_t()> configurationVersion{};
+    std::function<std::string()> configurationText{};
+    std::function<void(std::string text)> onConfiguration{}; ///< A peer has sent a configuration.
+    std::function<void(std::uint32_t gateways)> onGateways{};
+};
+
+/// Not thread-safe.
+class SidecarLinks
+{
+public:
+    explicit SidecarLinks(SidecarLinksOptions options);
+
+    /// Opens and closes connections to match the table's model servers. Call it every 100 ms.
+    void tick(const RouteTable *routes, Micros now);
+    /// Tells all sidecars of a new configuration.
+    void announce();
+    [[nodiscard]] std::size_t openCount() const;
+
+private:
+    /// A sidecar reports at least every second; a link that is silent for this long is replaced.
+    static constexpr Micros SilenceLimit = 2500 * MicrosPerMilli;
+    static constexpr Micros RedialDelay = 300 * MicrosPerMilli;
+
+    struct Link {
+        ConnectionId connection = 0;
+        bool open = false;
+        Micros lastNewsAt = 0;
+        Micros dialAfter = 0;
+    };
+
+    [[nodiscard]] KnownVersions known() const;
+    void onMessage(ConnectionId connection, Message message);
+    void onClosed(ConnectionId connection, std::error_code error);
+
+    SidecarLinksOptions options_;
+    Endpoint endpoint_;
+    std::map<std::string, Link, std::less<>> links_; ///< By IP address.
+    std::map<ConnectionId, std::string> ipOf_;
+    std::string model_; ///< The newest weights that any sidecar knows, to tell those that the platform turns away.
+    std::uint64_t weights_ = 0;
+};
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/gateway/src/upstream_table.cpp
@@ -0,0 +1,423 @@
+#include "carobhall/upstream_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+// Costs are compared in microseconds of delay to the first byte.
+
+/// Bytes between zones and regions are billed, and a link between regions is narrow: a request goes elsewhere only when its
+/// own zone is busier by this much.
+constexpr double SameRegionPenalty = 30'000.0;
+constexpr double OtherRegionPenalty = 150'000.0;
+
+/// Prompt tokens that an engine reads per microsecond, for estimates. Engines of the described installations read 41 a ms.
+constexpr double ReadTokensPerMicro = 0.0414;
+/// Reading a part again that another engine holds costs the fleet capacity that others need; counted on top of the time.
+constexpr double RereadPenaltyPerToken = 60.0;
+/// Reads that several processes start at once go to one engine if its wait is at most this much longer.
+constexpr double SharedReadBonus = 60'000.0;
+/// A transfer of KV cache: its start, and the factors between zones and regions.
+constexpr double FetchSetupMicros = 4'000.0;
+constexpr double FetchZoneFactor = 2.0;
+constexpr double FetchRegionFactor = 10.0;
+/// Each running request lengthens a step for all: 12 us per token, over a prompt's wait of some steps.
+constexpr double RunningPenalty = 1'500.0;
+/// A queued request of unknown size, in tokens: the mean of short and long prompts.
+constexpr double QueuedTokens = 1'500.0;
+/// Share of an engine's memory that new requests may fill. Above it running requests are pre-empted and read again.
+constexpr double MemoryShare = 0.9;
+
+/// Weight of a new sample in the moving averages of health: the last ten responses count for two thirds.
+constexpr double HealthSampleWeight = 0.1;
+/// A failure share of 1 counts like this much delay.
+constexpr double FailurePenalty = 400'000.0;
+constexpr std::uint32_t FailuresToAvoid = 3;
+constexpr Micros AvoidBase = 500 * MicrosPerMilli;
+constexpr Micros AvoidCap = 4 * MicrosPerSecond;
+
+/// An entry that lapsed while the platform's list was away is back within two seconds, if the upstream lives.
+constexpr Micros VanishedGrace = 2 * MicrosPerSecond;
+
+std::string_view ipOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+/// The same order of upstreams for a part in all processes.
+std::uint64_t rendezvousWeight(PartKey part, std::string_view id)
+{
+    return partKey(id, std::string_view(reinterpret_cast<const char *>(&part), sizeof(part)));
+}
+
+} // namespace
+
+UpstreamTable::UpstreamTable(Locality locality, std::uint64_t seed)
+    : locality_(std::move(locality))
+    , random_(seed)
+{
+}
+
+void UpstreamTable::update(UpstreamRecord record, Micros now)
+{
+    UpstreamRef &entry = byId_[record.id];
+    const bool restarted = entry && entry->record.startedAtMs != record.startedAtMs;
+    if (!entry || restarted || entry->record.address != record.address) {
+        // Another process: what was known of the one before does not hold.
+        if (entry) {
+            directory_.removeHolder(entry->number);
+        }
+        entry = std::make_shared<Upstream>();
+        entry->number = static_cast<UpstreamNumber>(byNumber_.size());
+        byNumber_.push_back(entry);
+    }
+    entry->record = std::move(record);
+    entry->present = true;
+    entry->vanishedAt = 0;
+    (void)now;
+}
+
+void UpstreamTable::remove(std::string_view id, Micros now)
+{
+    if (const auto found = byId_.find(id); found != byId_.end() && found->second->present) {
+        found->second->present = false;
+        found->second->vanishedAt = now;
+    }
+    for (auto it = byId_.begin(); it != byId_.end();) {
+        const Upstream &upstream = *it->second;
+        if (!upstream.present && upstream.inFlight == 0 && now - upstream.vanishedAt > 10 * VanishedGrace) {
+            directory_.removeHolder(upstream.number);
+            byNumber_[upstream.number] = nullptr;
+            it = byId_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+UpstreamRef UpstreamTable::engineAt(std::string_view ip) const
+{
+    UpstreamRef newest{};
+    for (const auto &[id, upstream] : byId_) {
+        if (ipOf(upstream->record.address) == ip && upstream->present && (!newest || upstream->record.startedAtMs > newest->record.startedAtMs)) {
+            newest = upstream;
+        }
+    }
+    return newest;
+}
+
+bool UpstreamTable::noteEngine(std::string_view ip, const EngineLoad &load, Micros now)
+{
+    const UpstreamRef upstream = engineAt(ip);
+    if (!upstream) {
+        return false;
+    }
+    if (upstream->load.weightsVersion != 0 && upstream->load.weightsVersion != load.weightsVersion) {
+        directory_.removeHolder(upstream->number);
+    }
+    upstream->load = load;
+    upstream->loadAt = now;
+    upstream->recentTokens = 0;
+    return true;
+}
+
+void UpstreamTable::noteCached(std::string_view ip, std::string_view salt, std::string_view partId, bool held, Micros now)
+{
+    if (const UpstreamRef upstream = engineAt(ip)) {
+        if (held) {
+            directory_.add(partKey(salt, partId), upstream->number, now);
+        } else {
+            directory_.remove(partKey(salt, partId), upstream->number);
+        }
+    }
+}
+
+void UpstreamTable::clearCached(std::string_view ip)
+{
+    if (const UpstreamRef upstream = engineAt(ip)) {
+        directory_.removeHolder(upstream->number);
+    }
+}
+
+Distance UpstreamTable::distanceTo(std::string_view zone) const
+{
+    if (zone == locality_.zone) {
+        return Distance::SameZone;
+    }
+    const auto here = locality_.regionOfZone.find(locality_.zone);
+    const auto there = locality_.regionOfZone.find(zone);
+    const bool same = here != locality_.regionOfZone.end() && there != locality_.regionOfZone.end() && here->second == there->second;
+    return same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+double UpstreamTable::distancePenalty(std::string_view zone) const
+{
+    switch (distanceTo(zone)) {
+    case Distance::SameZone:
+        return 0.0;
+    case Distance::SameRegion:
+        return SameRegionPenalty;
+    case Distance::OtherRegion:
+        return OtherRegionPenalty;
+    }
+    return 0.0;
+}
+
+std::vector<UpstreamRef> UpstreamTable::candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const
+{
+    std::vector<UpstreamRef> ready{};
+    std::vector<UpstreamRef> avoided{};
+    std::vector<UpstreamRef> vanished{};
+    for (const auto &[id, upstream] : byId_) {
+        const bool used = std::ranges::any_of(tried, [&](const UpstreamRef &other) { return other == upstream; });
+        if (upstream->record.service != service || upstream->record.draining || used) {
+            continue;
+        }
+        if (!upstream->present) {
+            if (now - upstream->vanishedAt < VanishedGrace) {
+                vanished.push_back(upstream);
+            }
+        } else if (upstream->avoidUntil > now) {
+            avoided.push_back(upstream);
+        } else {
+            ready.push_back(upstream);
+        }
+    }
+    if (!ready.empty()) {
+        return ready;
+    }
+    return avoided.empty() ? vanished : avoided;
+}
+
+UpstreamRef UpstreamTable::choosePlain(const Service &service, std::span<const UpstreamRef> tried, Micros now)
+{
+    UpstreamRef best{};
+    double bestCost = std::numeric_limits<double>::max();
+    for (const UpstreamRef &upstream : candidates(service.name, tried, now)) {
+        const double wait = upstream->latency * upstream->inFlight / std::max<double>(1.0, upstream->record.slots);
+        const double jitter = std::uniform_real_distribution<double>(0.0, 2'000.0)(random_);
+        const double cost = wait + distancePenalty(upstream->record.zone) + upstream->failureShare * FailurePenalty + jitter;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = upstream;
+        }
+    }
+    return best;
+}
+
+struct UpstreamTable::Fetch {
+    UpstreamRef source{};
+    std::size_t depth = 0; ///< Parts that the source holds from the start.
+    double micros = 0.0;
+};
+
+UpstreamTable::Fetch UpstreamTable::bestFetch(const Upstream &target, std::span<const PartKey> keys, std::span<const std::uint32_t> tokens, std::size_t held,
+                                              const EngineTraits &engine) const
+{
+    Fetch best{ .depth = held };
+    if (held >= keys.size() || engine.linkMbps <= 0.0) {
+        return best;
+    }
+    for (const UpstreamNumber number : directory_.holdersOf(keys[held])) {
+        const UpstreamRef &source = byNumber_[number];
+        // A source that is loading may drop its cache in between; one with other weights holds parts of other weights.
+        if (!source || number == target.number || !source->present || source->record.draining || source->weightsVersion() != target.weightsVersion()) {
+            continue;
+        }
+        std::size_t depth = 0;
+        while (depth < keys.size() && directory_.holds(keys[depth], number)) {
+            ++depth;
+        }
+        double moved = 0.0;
+        for (std::size_t i = held; i < depth; ++i) {
+            moved += tokens[i];
+        }
+        if (depth <= held) {
+            continue;
+        }
+        const auto here = locality_.regionOfZone.find(target.record.zone);
+        const auto there = locality_.regionOfZone.find(source->record.zone);
+        const bool sameZone = target.record.zone == source->record.zone;
+        const bool sameRegion = here != locality_.regionOfZone.end() && there != locality_.regionOfZone.end() && here->second == there->second;
+        const double factor = sameZone ? 1.0 : sameRegion ? FetchZoneFactor : FetchRegionFactor;
+        const double micros = FetchSetupMicros + moved * engine.bytesPerToken * 8.0 / engine.linkMbps * factor;
+        if (depth > best.depth || (depth == best.depth && micros < best.micros)) {
+            best = { .source = source, .depth = depth, .micros = micros };
+        }
+    }
+    return best;
+}
+
+std::variant<EngineChoice, RefusalReason> UpstreamTable::chooseEngine(const PromptDemand &demand, const Service &service, const Service * /*store*/,
+                                                                      std::span<const UpstreamRef> tried, Micros now)
+{
+    const EngineTraits &engine = *service.engine;
+    const std::size_t shared = demand.parts.empty() ? 0 : demand.parts.size() - 1;
+    std::uint64_t promptTokens = 0;
+    std::vector<std::uint32_t> tokens{};
+    for (std::size_t i = 0; i < demand.parts.size(); ++i) {
+        promptTokens += demand.parts[i].tokens;
+        if (i < shared) {
+            tokens.push_back(demand.parts[i].tokens);
+        }
+    }
+    const std::uint64_t memory = promptTokens + demand.outputTokens;
+
+    EngineChoice best;
+    double bestCost = std::numeric_limits<double>::max();
+    bool anyOpen = false;
+    std::vector<PartKey> keys(shared);
+    std::uint64_t keyedVersion = 0;
+    std::string salt{};
+    std::uint64_t homeWeight = 0;
+    const std::vector<UpstreamRef> all = candidates(demand.service, tried, now);
+    for (const UpstreamRef &upstream : all) {
+        if (upstream->load.closed || upstream->weightsVersion() == 0) {
+            continue;
+        }
+        const double capacity = static_cast<double>(upstream->load.totalTokens != 0 ? upstream->load.totalTokens : engine.cacheTokens);
+        const double used = static_cast<double>(upstream->load.usedTokens + upstream->recentTokens);
+        if (static_cast<double>(memory) > capacity) {
+            continue;
+        }
+        anyOpen = true;
+        if (upstream->weightsVersion() != keyedVersion || salt.empty()) {
+            keyedVersion = upstream->weightsVersion();
+            salt = cacheSalt(keyedVersion, demand.isolatedAccount);
+            for (std::size_t i = 0; i < shared; ++i) {
+                keys[i] = partKey(salt, demand.parts[i].id);
+            }
+        }
+        std::size_t held = 0;
+        while (held < shared && directory_.holds(keys[held], upstream->number)) {
+            ++held;
+        }
+        const Fetch fetch = bestFetch(*upstream, keys, tokens, held, engine);
+        std::uint64_t missing = 0;
+        std::uint64_t reread = 0;
+        std::uint64_t unread = 0;
+        for (std::size_t i = held; i < shared; ++i) {
+            missing += tokens[i];
+            if (i >= fetch.depth) {
+                unread += tokens[i];
+                reread += directory_.holdersOf(keys[i]).empty() ? 0 : tokens[i];
+            }
+        }
+        const std::uint64_t reads = unread + (demand.parts.empty() ? 0 : demand.parts.back().tokens);
+        const double backlog = static_cast<double>(upstream->unreadTokens) + upstream->load.queued * QueuedTokens;
+        const double wait = (backlog + static_cast<double>(reads)) / ReadTokensPerMicro + fetch.micros + upstream->load.running * RunningPenalty;
+        double cost = wait + static_cast<double>(reread) * RereadPenaltyPerToken + distancePenalty(upstream->record.zone)
+            + upstream->failureShare * FailurePenalty;
+        // Beyond its share of memory the request waits for others to end, or makes them wait.
+        const double excess = used + static_cast<double>(memory) - capacity * MemoryShare;
+        if (excess > 0.0) {
+            cost += 300'000.0 + excess / ReadTokensPerMicro;
+        }
+        if (held < shared && unread > 0) {
+            const std::optional<UpstreamNumber> reader = directory_.readerOf(keys[std::max(held, fetch.depth)], now);
+            if (reader) {
+                cost -= *reader == upstream->number ? static_cast<double>(unread) * RereadPenaltyPerToken : 0.0;
+            } else if (const std::uint64_t weight = rendezvousWeight(keys[held], upstream->record.id);
+                       upstream->record.zone == locality_.zone && weight > homeWeight) {
+                homeWeight = weight;
+                cost -= SharedReadBonus;
+            }
+        }
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = { .upstream = upstream,
+                     .salt = salt,
+                     .weightsVersion = keyedVersion,
+                     .fetchFrom = fetch.source ? fetch.source->record.address : std::string(),
+                     .missingTokens = missing,
+                     .readTokens = reads,
+                     .expected = static_cast<Micros>(wait + std::max(0.0, excess) / ReadTokensPerMicro) };
+        }
+    }
+    if (!best.upstream) {
+        return anyOpen ? RefusalReason::Full : RefusalReason::NoUpstream;
+    }
+    if (best.expected > demand.remaining) {
+        return RefusalReason::Full;
+    }
+    return best;
+}
+
+void UpstreamTable::began(Upstream &upstream, std::uint64_t readTokens, std::uint64_t memoryTokens)
+{
+    ++upstream.inFlight;
+    upstream.unreadTokens += readTokens;
+    upstream.recentTokens += memoryTokens;
+}
+
+void UpstreamTable::firstToken(Upstream &upstream, std::uint64_t readTokens)
+{
+    upstream.unreadTokens -= std::min(upstream.unreadTokens, readTokens);
+}
+
+void UpstreamTable::ended(Upstream &upstream, AttemptResult result, Micros elapsed, Micros now)
+{
+    upstream.inFlight -= std::min<std::uint32_t>(upstream.inFlight, 1);
+    switch (result) {
+    case AttemptResult::Served:
+        upstream.failuresInRow = 0;
+        upstream.failureShare *= 1.0 - HealthSampleWeight;
+        upstream.latency += HealthSampleWeight * (static_cast<double>(elapsed) - upstream.latency);
+        return;
+    case AttemptResult::Failed:
+    case AttemptResult::Unreachable:
+        upstream.failureShare += HealthSampleWeight * (1.0 - upstream.failureShare);
+        ++upstream.failuresInRow;
+        if (upstream.failuresInRow >= FailuresToAvoid || result == AttemptResult::Unreachable) {
+            const auto shift = std::min<std::uint32_t>(upstream.failuresInRow, 4);
+            upstream.avoidUntil = now + std::min<Micros>(AvoidCap, AvoidBase << (shift > 0 ? shift - 1 : 0));
+        }
+        return;
+    case AttemptResult::Rejected:
+    case AttemptResult::Abandoned:
+        return;
+    }
+}
+
+void UpstreamTable::notePrompt(const Upstream &upstream, std::string_view salt, std::span<const PromptPart> parts, Micros now)
+{
+    for (const PromptPart &part : parts) {
+        directory_.add(partKey(salt, part.id), upstream.number, now);
+    }
+}
+
+void UpstreamTable::noteReading(const Upstream &upstream, std::string_view salt, std::span<const PromptPart> parts, Micros now)
+{
+    for (const PromptPart &part : parts) {
+        const PartKey key = partKey(salt, part.id);
+        if (!directory_.holds(key, upstream.number)) {
+            directory_.noteReading(key, upstream.number, now);
+        }
+    }
+}
+
+const std::map<std::string, UpstreamRef, std::less<>> &UpstreamTable::byId() const
+{
+    return byId_;
+}
+
+std::size_t UpstreamTable::readyCount(std::string_view service) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(byId_, [&](const auto &entry) {
+        const Upstream &upstream = *entry.second;
+        return upstream.present && !upstream.record.draining && (service.empty() || upstream.record.service == service);
+    }));
+}
+
+const PromptDirectory &UpstreamTable::directory() const
+{
+    return directory_;
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/http/src/channel.cpp
@@ -0,0 +1,407 @@
+#include "carobhall/channel.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <fcntl.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+constexpr std::size_t ReadSize = std::size_t{ 64 } << 10U; ///< Bytes of one read; a whole request of the usual size.
+constexpr int ListenBacklog = 1024;                        ///< Connections that wait for accept(); a burst of a zone's clients.
+constexpr unsigned FinishTimeoutMs = 1500;                 ///< How long a closed connection may take to deliver its last bytes.
+
+// Keep-alive probes notice a peer that vanished without a reset. Three seconds is below the time in which configuration and
+// draining have to be known.
+constexpr int ProbeIdleSeconds = 1;
+constexpr int ProbeIntervalSeconds = 1;
+constexpr int ProbeCount = 2;
+
+std::optional<sockaddr_in> parseSocketAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char *const end = address.data() + address.size();
+    if (const auto [last, error] = std::from_chars(address.data() + colon + 1, end, port); error != std::errc() || last != end) {
+        return std::nullopt;
+    }
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(port);
+    if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    // A socket without the option still works; only its failures are noticed later.
+    (void)setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+void prepare(int descriptor, Micros unackedTimeout)
+{
+    (void)fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK); // NOLINT: POSIX interface.
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, ProbeIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, ProbeIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
+    if (unackedTimeout > 0) {
+        setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unackedTimeout / MicrosPerMilli));
+    }
+}
+
+} // namespace
+
+/// The GLib source of a channel. It outlives the channel while it is being dispatched.
+struct Channel::Source {
+    GSource base;
+    Channel *owner;
+    gpointer tag;
+
+    static gboolean dispatch(GSource *source, GSourceFunc /*function*/, gpointer /*data*/)
+    {
+        auto *const self = reinterpret_cast<Source *>(source);
+        if (self->owner != nullptr) {
+            const std::shared_ptr<Channel> keep = self->owner->shared_from_this();
+            keep->onReady(g_source_query_unix_fd(source, self->tag));
+        }
+        return G_SOURCE_CONTINUE;
+    }
+    static GSourceFuncs functions;
+};
+
+GSourceFuncs Channel::Source::functions = { nullptr, nullptr, &Channel::Source::dispatch, nullptr, nullptr, nullptr };
+
+Channel::Channel(int descriptor, State state, ChannelOptions options)
+    : descriptor_(descriptor)
+    , state_(state)
+    , options_(std::move(options))
+{
+}
+
+Channel::~Channel()
+{
+    abort();
+}
+
+std::shared_ptr<Channel> Channel::connect(const std::string &address, ChannelOptions options)
+{
+    const std::optional<sockaddr_in> target = parseSocketAddress(address);
+    if (!target) {
+        return nullptr;
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return nullptr;
+    }
+    prepare(descriptor, options.unackedTimeout);
+    const int result = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&*target), sizeof(*target));
+    if (result != 0 && errno != EINPROGRESS) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    const std::shared_ptr<Channel> channel(new Channel(descriptor, State::Connecting, std::move(options)));
+    channel->attach();
+    return channel;
+}
+
+std::shared_ptr<Channel> Channel::adopt(int descriptor, ChannelOptions options)
+{
+    prepare(descriptor, options.unackedTimeout);
+    const std::shared_ptr<Channel> channel(new Channel(descriptor, State::Open, std::move(options)));
+    channel->attach();
+    return channel;
+}
+
+void Channel::attach()
+{
+    GSource *const source = g_source_new(&Source::functions, sizeof(Source));
+    source_ = reinterpret_cast<Source *>(source);
+    source_->owner = this;
+    interest_ = state_ == State::Connecting ? G_IO_OUT : G_IO_IN;
+    source_->tag = g_source_add_unix_fd(source, descriptor_, static_cast<GIOCondition>(interest_));
+    g_source_attach(source, nullptr);
+}
+
+void Channel::updateInterest()
+{
+    if (source_ == nullptr || state_ == State::Connecting) {
+        return;
+    }
+    const bool reads = !pendingEnd_ && (state_ == State::Finishing || input_.size() < options_.maxInput);
+    const unsigned wanted = (reads ? unsigned{ G_IO_IN } : 0U) | (unsent() > 0 ? unsigned{ G_IO_OUT } : 0U);
+    if (wanted != interest_) {
+        interest_ = wanted;
+        g_source_modify_unix_fd(&source_->base, source_->tag, static_cast<GIOCondition>(wanted));
+    }
+}
+
+void Channel::setCallbacks(std::function<void()> onData, std::function<void(ChannelEnd)> onEnd)
+{
+    options_.onOpen = nullptr;
+    options_.onData = std::move(onData);
+    options_.onEnd = std::move(onEnd);
+}
+
+std::string &Channel::input()
+{
+    return input_;
+}
+
+std::size_t Channel::unsent() const
+{
+    return output_.size() - sent_;
+}
+
+bool Channel::isOpen() const
+{
+    return state_ == State::Open || state_ == State::Connecting;
+}
+
+bool Channel::isEnded() const
+{
+    return state_ == State::Ended;
+}
+
+void Channel::write(std::string_view data)
+{
+    if (!isOpen()) {
+        return;
+    }
+    output_.append(data);
+    if (state_ == State::Open) {
+        sendQueued();
+    }
+}
+
+void Channel::sendQueued()
+{
+    while (unsent() > 0) {
+        const ssize_t count = ::send(descriptor_, output_.data() + sent_, unsent(), MSG_NOSIGNAL);
+        if (count > 0) {
+            sent_ += static_cast<std::size_t>(count);
+            continue;
+        }
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        // The read side reports the end on the next turn of the main loop, with what the peer sent before it.
+        sent_ = output_.size();
+    }
+    if (unsent() == 0) {
+        output_.clear();
+        sent_ = 0;
+        if (state_ == State::Finishing) {
+            (void)shutdown(descriptor_, SHUT_WR);
+        }
+    } else if (unsent() > options_.maxOutput) {
+        abort();
+        return;
+    }
+    updateInterest();
+}
+
+void Channel::onReady(unsigned condition)
+{
+    if (state_ == State::Connecting) {
+        finishConnect();
+        return;
+    }
+    if ((condition & G_IO_OUT) != 0) {
+        sendQueued();
+    }
+    if (state_ != State::Ended && (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0) {
+        readAll();
+    }
+}
+
+void Channel::finishConnect()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+        end(ChannelEnd::ConnectFailed);
+        return;
+    }
+    state_ = State::Open;
+    updateInterest();
+    sendQueued();
+    if (state_ == State::Open && options_.onOpen) {
+        const auto onOpen = options_.onOpen;
+        onOpen();
+    }
+}
+
+void Channel::readAll()
+{
+    // One read buffer serves all channels, as they share a thread.
+    static std::array<char, ReadSize> block;
+    const ssize_t count = ::recv(descriptor_, block.data(), block.size(), 0);
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return;
+    }
+    if (count <= 0) {
+        end(count == 0 ? ChannelEnd::PeerFinished : ChannelEnd::Reset);
+        return;
+    }
+    if (state_ == State::Finishing) {
+        return;
+    }
+    input_.append(block.data(), static_cast<std::size_t>(count));
+    updateInterest();
+    if (options_.onData) {
+        const auto onData = options_.onData;
+        onData();
+    }
+}
+
+void Channel::end(ChannelEnd reason)
+{
+    const bool silent = state_ == State::Finishing;
+    state_ = State::Ended;
+    release();
+    if (!silent && options_.onEnd) {
+        const auto onEnd = std::exchange(options_.onEnd, nullptr);
+        onEnd(reason);
+    }
+}
+
+void Channel::close()
+{
+    if (state_ == State::Connecting) {
+        abort();
+        return;
+    }
+    if (state_ != State::Open) {
+        return;
+    }
+    state_ = State::Finishing;
+    options_.onData = nullptr;
+    options_.onEnd = nullptr;
+    input_.clear();
+    // Reads on until the peer closes: closing a socket with unread input resets it and can destroy the last answer.
+    auto *const self = new std::shared_ptr<Channel>(shared_from_this());
+    lingerSource_ = g_timeout_add_full(
+        G_PRIORITY_DEFAULT, FinishTimeoutMs,
+        [](gpointer data) -> gboolean {
+            const auto &channel = *static_cast<std::shared_ptr<Channel> *>(data);
+            channel->lingerSource_ = 0;
+            channel->abort();
+            return G_SOURCE_REMOVE;
+        },
+        self, [](gpointer data) { delete static_cast<std::shared_ptr<Channel> *>(data); });
+    sendQueued();
+}
+
+void Channel::abort()
+{
+    if (descriptor_ >= 0) {
+        const linger none{ .l_onoff = 1, .l_linger = 0 };
+        (void)setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    }
+    state_ = State::Ended;
+    options_.onData = nullptr;
+    options_.onEnd = nullptr;
+    release();
+}
+
+void Channel::release()
+{
+    if (source_ != nullptr) {
+        source_->owner = nullptr;
+        g_source_destroy(&source_->base);
+        g_source_unref(&source_->base);
+        source_ = nullptr;
+    }
+    if (descriptor_ >= 0) {
+        ::close(descriptor_);
+        descriptor_ = -1;
+    }
+    if (const unsigned linger = std::exchange(lingerSource_, 0)) {
+        g_source_remove(linger);
+    }
+}
+
+ChannelListener::ChannelListener(std::function<void(int)> onAccept)
+    : onAccept_(std::move(onAccept))
+{
+}
+
+ChannelListener::~ChannelListener()
+{
+    stop();
+}
+
+std::error_code ChannelListener::listen(const std::string &address)
+{
+    const std::optional<sockaddr_in> local = parseSocketAddress(address);
+    if (!local) {
+        return std::make_error_code(std::errc::invalid_argument);
+    }
+    descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (descriptor_ < 0) {
+        return { errno, std::generic_category() };
+    }
+    setOption(descriptor_, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (bind(descriptor_, reinterpret_cast<const sockaddr *>(&*local), sizeof(*local)) != 0 || ::listen(descriptor_, ListenBacklog) != 0) {
+        const std::error_code error(errno, std::generic_category());
+        stop();
+        return error;
+    }
+    sockaddr_in taken{};
+    socklen_t size = sizeof(taken);
+    if (getsockname(descriptor_, reinterpret_cast<sockaddr *>(&taken), &size) == 0) {
+        port_ = ntohs(taken.sin_port);
+    }
+    source_ = g_unix_fd_add(
+        descriptor_, G_IO_IN, [](gint fd, GIOCondition condition, gpointer self) -> gboolean { return onReady(fd, condition, self); }, this);
+    return {};
+}
+
+std::uint16_t ChannelListener::port() const
+{
+    return port_;
+}
+
+void ChannelListener::stop()
+{
+    if (const unsigned source = std::exchange(source_, 0)) {
+        g_source_remove(source);
+    }
+    if (descriptor_ >= 0) {
+        ::close(descriptor_);
+        descriptor_ = -1;
+    }
+}
+
+int ChannelListener::onReady(int descriptor, unsigned /*condition*/, void *self)
+{
+    for (;;) {
+        const int accepted = accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (accepted < 0) {
+            return G_SOURCE_CONTINUE;
+        }
+        static_cast<ChannelListener *>(self)->onAccept_(accepted);
+    }
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/http/src/http_message.cpp
@@ -0,0 +1,347 @@
+#include "carobhall/http_message.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+namespace Http = boost::beast::http;
+using BeastText = boost::beast::string_view;
+using BeastError = boost::beast::error_code;
+
+std::string toString(BeastText text)
+{
+    return { text.data(), text.size() };
+}
+
+constexpr std::array HopByHopNames{
+    std::string_view("connection"), std::string_view("keep-alive"),          std::string_view("proxy-connection"), std::string_view("proxy-authenticate"),
+    std::string_view("te"),         std::string_view("proxy-authorization"), std::string_view("trailer"),          std::string_view("transfer-encoding"),
+    std::string_view("upgrade"),
+};
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(" \t");
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
+bool listContains(std::string_view list, std::string_view word)
+{
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        if (equalsIgnoringCase(trimmed(list.substr(0, comma)), word)) {
+            return true;
+        }
+        if (comma == std::string_view::npos) {
+            return false;
+        }
+        list.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+/// Collects one message from Beast's callbacks.
+template<bool IsRequest>
+class Collector final : public Http::basic_parser<IsRequest>
+{
+    using Base = Http::basic_parser<IsRequest>;
+
+public:
+    explicit Collector(const ReaderLimits &limits)
+    {
+        Base::eager(true);
+        Base::header_limit(limits.maxHeaderBytes);
+        Base::body_limit(limits.maxBodyBytes);
+    }
+
+    RequestHead request;
+    ResponseHead response;
+    std::string body;
+    bool ambiguous = false; ///< Framing that another reader of the same bytes may understand differently.
+
+private:
+    std::vector<HeaderField> &fields()
+    {
+        if constexpr (IsRequest) {
+            return request.fields;
+        } else {
+            return response.fields;
+        }
+    }
+
+    void on_request_impl(Http::verb /*verb*/, BeastText method, BeastText target, int /*version*/, BeastError & /*error*/) override
+    {
+        request.method = toString(method);
+        request.target = toString(target);
+    }
+    void on_response_impl(int status, BeastText reason, int /*version*/, BeastError & /*error*/) override
+    {
+        response.status = static_cast<unsigned>(status);
+        response.reason = toString(reason);
+    }
+    void on_field_impl(Http::field field, BeastText name, BeastText value, BeastError & /*error*/) override
+    {
+        const bool coded = field == Http::field::transfer_encoding;
+        ambiguous = ambiguous || (coded && !equalsIgnoringCase(toString(value), "chunked"));
+        fields().push_back({ toString(name), toString(value) });
+    }
+    void on_header_impl(BeastError & /*error*/) override
+    {
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, BeastError & /*error*/) override
+    {
+    }
+    std::size_t on_body_impl(BeastText data, BeastError & /*error*/) override
+    {
+        body.append(data.data(), data.size());
+        return data.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, BeastText /*extensions*/, BeastError & /*error*/) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, BeastText data, BeastError & /*error*/) override
+    {
+        body.append(data.data(), data.size());
+        return data.size();
+    }
+    void on_finish_impl(BeastError & /*error*/) override
+    {
+    }
+};
+
+template<bool IsRequest>
+ReadProgress progressOf(const BeastError &error)
+{
+    if (error == Http::error::header_limit) {
+        return ReadProgress::HeadTooLarge;
+    }
+    if (error == Http::error::body_limit) {
+        return ReadProgress::BodyTooLarge;
+    }
+    return ReadProgress::Malformed;
+}
+
+/// Feeds \p buffer to \p collector until it is complete or needs more.
+template<bool IsRequest>
+ReadProgress feed(Collector<IsRequest> &collector, std::string &buffer, bool &started)
+{
+    std::size_t used = 0;
+    ReadProgress progress = ReadProgress::NeedsMore;
+    while (used < buffer.size() && !collector.is_done()) {
+        BeastError error;
+        const std::size_t count = collector.put(boost::asio::const_buffer(buffer.data() + used, buffer.size() - used), error);
+        used += count;
+        if (error && error != Http::error::need_more) {
+            progress = progressOf<IsRequest>(error);
+            break;
+        }
+        if (error == Http::error::need_more) {
+            break;
+        }
+    }
+    started = started || !buffer.empty();
+    buffer.erase(0, used);
+    if (collector.ambiguous) {
+        return ReadProgress::Malformed;
+    }
+    if (progress == ReadProgress::NeedsMore && collector.is_done()) {
+        return ReadProgress::Complete;
+    }
+    return progress;
+}
+
+} // namespace
+
+// 1. Heads ----------------------------------------------------------------------------------------
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    if (a.size() != b.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < a.size(); ++i) {
+        if (lower(a[i]) != lower(b[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::optional<std::string_view> findField(const std::vector<HeaderField> &fields, std::string_view name)
+{
+    for (const HeaderField &field : fields) {
+        if (equalsIgnoringCase(field.name, name)) {
+            return field.value;
+        }
+    }
+    return std::nullopt;
+}
+
+bool isHopByHop(const std::vector<HeaderField> &fields, std::string_view name)
+{
+    for (const std::string_view hop : HopByHopNames) {
+        if (equalsIgnoringCase(name, hop)) {
+            return true;
+        }
+    }
+    for (const HeaderField &field : fields) {
+        if (equalsIgnoringCase(field.name, "connection") && listContains(field.value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// 2. Readers --------------------------------------------------------------------------------------
+
+struct RequestReader::Impl {
+    explicit Impl(const ReaderLimits &limits)
+        : collector(limits)
+    {
+    }
+    Collector<true> collector;
+    bool started = false;
+};
+
+RequestReader::RequestReader(const ReaderLimits &limits)
+    : impl_(std::make_unique<Impl>(limits))
+{
+}
+
+RequestReader::~RequestReader() = default;
+RequestReader::RequestReader(RequestReader &&) noexcept = default;
+RequestReader &RequestReader::operator=(RequestReader &&) noexcept = default;
+
+ReadProgress RequestReader::read(std::string &buffer)
+{
+    const ReadProgress progress = feed(impl_->collector, buffer, impl_->started);
+    if (progress == ReadProgress::Complete) {
+        impl_->collector.request.keepsConnection = impl_->collector.keep_alive();
+    }
+    return progress;
+}
+
+bool RequestReader::hasHead() const
+{
+    return impl_->collector.is_header_done();
+}
+
+const RequestHead &RequestReader::head() const
+{
+    return impl_->collector.request;
+}
+
+std::string RequestReader::takeBody()
+{
+    return std::exchange(impl_->collector.body, {});
+}
+
+bool RequestReader::hasStarted() const
+{
+    return impl_->started;
+}
+
+struct ResponseReader::Impl {
+    explicit Impl(const ReaderLimits &readerLimits)
+        : limits(readerLimits)
+        , collector(std::in_place, readerLimits)
+    {
+    }
+    [[nodiscard]] bool isInterim() const
+    {
+        return collector->is_done() && collector->response.status >= 100 && collector->response.status < 200;
+    }
+
+    ReaderLimits limits;
+    std::optional<Collector<false>> collector;
+    bool started = false;
+};
+
+ResponseReader::ResponseReader(const ReaderLimits &limits)
+    : impl_(std::make_unique<Impl>(limits))
+{
+}
+
+ResponseReader::~ResponseReader() = default;
+ResponseReader::ResponseReader(ResponseReader &&) noexcept = default;
+ResponseReader &ResponseReader::operator=(ResponseReader &&) noexcept = default;
+
+ReadProgress ResponseReader::read(std::string &buffer)
+{
+    for (;;) {
+        const ReadProgress progress = feed(*impl_->collector, buffer, impl_->started);
+        if (progress == ReadProgress::Complete && impl_->isInterim()) {
+            impl_->collector.emplace(impl_->limits);
+            continue;
+        }
+        if (impl_->collector->is_header_done()) {
+            impl_->collector->response.keepsConnection = impl_->collector->keep_alive();
+        }
+        return progress;
+    }
+}
+
+ReadProgress ResponseReader::readEnd()
+{
+    if (!impl_->collector->is_header_done()) {
+        return ReadProgress::Malformed;
+    }
+    BeastError error;
+    impl_->collector->put_eof(error);
+    return !error && impl_->collector->is_done() ? ReadProgress::Complete : ReadProgress::Malformed;
+}
+
+bool ResponseReader::hasHead() const
+{
+    return impl_->collector->is_header_done() && !impl_->isInterim();
+}
+
+const ResponseHead &ResponseReader::head() const
+{
+    return impl_->collector->response;
+}
+
+std::string ResponseReader::takeBody()
+{
+    return std::exchange(impl_->collector->body, {});
+}
+
+bool ResponseReader::hasStarted() const
+{
+    return impl_->started;
+}
+
+// 3. Writing --------------------------------------------------------------------------------------
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void appendChunk(std::string &out, std::string_view data)
+{
+    std::array<char, 20> digits{};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), data.size(), 16);
+    out.append(digits.data(), end).append("\r\n").append(data).append("\r\n");
+}
+
+std::string_view reasonOf(unsigned status)
+{
+    const BeastText reason = Http::obsolete_reason(static_cast<Http::status>(status));
+    return { reason.data(), reason.size() };
+}
+
+} // namespace Carobhall
--- /dev/null
+++ b/packages/sidecar/src/sidecar.cpp
@@ -0,0 +1,401 @@
+#include "carobhall/sidecar.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+constexpr Micros TickInterval = 50 * MicrosPerMilli;
+constexpr Micros ReportInterval = 150 * MicrosPerMilli; ///< A report is free on the server's own machine, but costs processor time.
+constexpr Micros EventsWait = MicrosPerSecond;          ///< The longest that a server holds a call for events.
+constexpr Micros EventsPause = 80 * MicrosPerMilli;     ///< Collects the events of some requests in one answer.
+constexpr Micros NewsInterval = 200 * MicrosPerMilli;   ///< When the load has changed; it is that old at a gateway at most.
+constexpr Micros IdleNewsInterval = MicrosPerSecond;    ///< Also tells gateways that the connection is alive.
+constexpr Micros EngineCallTimeout = 800 * MicrosPerMilli;
+constexpr std::size_t MaxChangesPerMessage = 500; ///< About 20 KB.
+
+} // namespace
+
+struct Sidecar::Impl {
+    explicit Impl(SidecarOptions sidecarOptions);
+
+    std::error_code start();
+    void beginShutdown();
+    void tick();
+    void readReport();
+    void onReport(const HttpReply &reply);
+    void readEvents();
+    void onEvents(const HttpReply &reply);
+    void giveOrder(const RolloutStep &step);
+    void onWeights(const std::string &model, std::uint64_t version, std::string_view source);
+    void findWave(std::uint64_t version, Micros now);
+    void adoptConfig(const Json::Value &spec, std::string_view source);
+    void onMessage(ConnectionId connection, Message message);
+    void sendNews(bool force);
+    void sendSnapshot(ConnectionId connection);
+    [[nodiscard]] KnownVersions known() const;
+    [[nodiscard]] EngineNews news() const;
+
+    SidecarOptions options;
+    HttpClient http;
+    Endpoint endpoint;
+    std::set<ConnectionId> gateways;
+    std::unique_ptr<ObjectWatcher> configWatcher;
+    std::unique_ptr<ObjectWatcher> weightsWatcher;
+    WeightsRollout rollout;
+    EngineReport report;
+    bool reportKnown = false;
+    bool reporting = false;
+    bool readingEvents = false;
+    bool ordering = false;
+    bool closed = false;
+    Micros nextReport = 0;
+    Micros nextEvents = 0;
+    Micros lastNews = 0;
+    EngineNews lastSent;
+    std::uint64_t eventsBoot = 0;
+    std::uint64_t eventsNext = 0;
+    std::set<std::pair<std::string, std::string>> held; ///< Salt and part.
+    std::vector<CacheChange> pending;
+    bool pendingReset = false;
+    std::string model;
+    std::uint64_t configVersion = 0;
+    std::string configText;
+    Timer ticker;
+    Timer stopTimer;
+};
+
+Sidecar::Impl::Impl(SidecarOptions sidecarOptions)
+    : options(std::move(sidecarOptions))
+    , http({})
+    , endpoint({ .context = nullptr,
+                 .keys = installationKeys(options.settings.platformAddress),
+                 .self = { .name = options.settings.name,
+                           .zone = options.settings.zone,
+                           .incarnation = drawIncarnation(),
+                           .kind = static_cast<std::uint8_t>(ProcessKind::Agent) },
+                 .onOpen =
+                     [this](ConnectionId connection, const PeerInfo &peer) {
+                         gateways.insert(connection);
+                         logEvent(LogLevel::Info, "gateway_connected", { { "peer", peer.name }, { "gateways", gateways.size() } });
+                         sendSnapshot(connection);
+                     },
+                 .onMessage = [this](ConnectionId connection, Message message) { onMessage(connection, std::move(message)); },
+                 .onClosed =
+                     [this](ConnectionId connection, std::error_code error) {
+                         if (gateways.erase(connection) > 0) {
+                             logEvent(LogLevel::Info, "gateway_lost", { { "error", error }, { "gateways", gateways.size() } });
+                         }
+                     } })
+{
+}
+
+std::error_code Sidecar::Impl::start()
+{
+    if (const std::error_code error = endpoint.listen(options.settings.ip + ":" + std::to_string(options.settings.peerPort))) {
+        return error;
+    }
+    configWatcher = std::make_unique<ObjectWatcher>(
+        *options.platform,
+        WatcherOptions{ .kind = options.sites.configKind, .name = options.sites.configName, .onObject = [this](const PlatformObject &object, Micros) {
+                           adoptConfig(object.spec, "platform");
+                       } });
+    weightsWatcher = std::make_unique<ObjectWatcher>(
+        *options.platform, WatcherOptions{ .kind = options.sites.weightsKind, .name = {}, .onObject = [this](const PlatformObject &object, Micros) {
+                                              if (const auto named = options.sites.decodeWeights(object)) {
+                                                  onWeights(named->first, named->second, "platform");
+                                              } else {
+                                                  logEvent(LogLevel::Warning, "weights_unreadable", { { "name", object.name } });
+                                              }
+                                          } });
+    ticker.startRepeating(TickInterval, [this] { tick(); });
+    logEvent(LogLevel::Info, "started", { { "engine", options.settings.engineAddress }, { "service", options.settings.engineService } });
+    return {};
+}
+
+void Sidecar::Impl::beginShutdown()
+{
+    logEvent(LogLevel::Info, "stopping", { { "gateways", gateways.size() } });
+    stopTimer.startOnce(50 * MicrosPerMilli, [this] { options.onStopped(); });
+}
+
+void Sidecar::Impl::tick()
+{
+    const Micros now = monotonicNow();
+    options.platform->tick(now);
+    configWatcher->tick(now);
+    weightsWatcher->tick(now);
+    if (!reporting && now >= nextReport) {
+        readReport();
+    }
+    if (!readingEvents && now >= nextEvents) {
+        readEvents();
+    }
+    if (reportKnown && !ordering) {
+        const RolloutStep step = rollout.step(report, now);
+        if (step.closed != closed) {
+            closed = step.closed;
+            logEvent(LogLevel::Info, closed ? "engine_closed" : "engine_opened",
+                     { { "weights", report.weightsVersion }, { "target", rollout.target() }, { "running", report.running }, { "queued", report.queued } });
+            sendNews(true);
+        }
+        if (step.order) {
+            giveOrder(step);
+        }
+    }
+    sendNews(false);
+}
+
+void Sidecar::Impl::readReport()
+{
+    reporting = true;
+    HttpCall call = options.engine.reportCall(options.settings.engineAddress);
+    call.timeout = EngineCallTimeout;
+    http.send(std::move(call), [this](const HttpReply &reply) { onReport(reply); });
+}
+
+void Sidecar::Impl::onReport(const HttpReply &reply)
+{
+    reporting = false;
+    nextReport = monotonicNow() + ReportInterval;
+    const std::optional<EngineReport> read = options.engine.decodeReport(reply);
+    if (!read) {
+        if (reportKnown) {
+            logEvent(LogLevel::Warning, "engine_lost", { { "error", reply.error }, { "status", reply.status } });
+        }
+        reportKnown = false;
+        return;
+    }
+    if (!reportKnown) {
+        logEvent(LogLevel::Info, "engine_found", { { "weights", read->weightsVersion }, { "sequence", read->sequence }, { "model", read->model } });
+    }
+    if (reportKnown && read->weightsVersion != report.weightsVersion) {
+        logEvent(LogLevel::Info, "engine_weights",
+                 { { "weights", read->weightsVersion }, { "before", report.weightsVersion }, { "target", rollout.target() } });
+        // New weights empty the cache.
+        held.clear();
+        pending.clear();
+        pendingReset = true;
+    }
+    reportKnown = true;
+    report = *read;
+    if (!read->model.empty()) {
+        model = read->model;
+    }
+}
+
+void Sidecar::Impl::readEvents()
+{
+    readingEvents = true;
+    HttpCall call = options.engine.eventsCall(options.settings.engineAddress, eventsNext, EventsWait);
+    call.timeout = EventsWait + EngineCallTimeout;
+    http.send(std::move(call), [this](const HttpReply &reply) { onEvents(reply); });
+}
+
+void Sidecar::Impl::onEvents(const HttpReply &reply)
+{
+    readingEvents = false;
+    nextEvents = monotonicNow() + EventsPause;
+    const std::optional<CacheEvents> events = options.engine.decodeEvents(reply);
+    if (!events) {
+        nextEvents += EventsWait / 2;
+        return;
+    }
+    if (events->boot != eventsBoot) {
+        held.clear();
+        pending.clear();
+        pendingReset = eventsBoot != 0;
+        const bool first = eventsBoot == 0;
+        eventsBoot = events->boot;
+        if (!first) {
+            // The numbers of the new process begin anew.
+            eventsNext = 0;
+            return;
+        }
+    }
+    if (events->lost) {
+        // What is held stays; parts that left unseen cost a read each, and a full list would stall the server.
+        logEvent(LogLevel::Info, "cache_events_lost", { { "since", eventsNext }, { "next", events->next } });
+    }
+    eventsNext = events->next;
+    for (const CacheChange &change : events->changes) {
+        const auto entry = std::make_pair(change.salt, change.part);
+        if (change.held ? held.insert(entry).second : held.erase(entry) > 0) {
+            pending.push_back(change);
+        }
+    }
+}
+
+void Sidecar::Impl::giveOrder(const RolloutStep &step)
+{
+    ordering = true;
+    // The version itself is the fencing token: it never decreases, and the server has no other holder.
+    HttpCall call = options.engine.orderCall(options.settings.engineAddress, options.settings.name, model, step.version, step.sequence, step.version);
+    call.timeout = EngineCallTimeout;
+    http.send(std::move(call), [this, version = step.version, sequence = step.sequence](const HttpReply &reply) {
+        ordering = false;
+        const OrderResult result = options.engine.decodeOrder(reply);
+        logEvent(LogLevel::Info, "weights_ordered",
+                 { { "version", version }, { "sequence", sequence }, { "result", result }, { "status", reply.status }, { "running", report.running } });
+        rollout.ordered(result, monotonicNow());
+        nextReport = 0;
+    });
+}
+
+void Sidecar::Impl::onWeights(const std::string &named, std::uint64_t version, std::string_view source)
+{
+    if (version <= rollout.target() || (!model.empty() && named != model)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "weights_named", { { "model", named }, { "version", version }, { "before", rollout.target() }, { "source", source } });
+    if (model.empty()) {
+        model = named;
+    }
+    findWave(version, monotonicNow());
+}
+
+void Sidecar::Impl::findWave(std::uint64_t version, Micros now)
+{
+    options.platform->call(listCall(options.sites.upstreamKind), now, [this, version](const PlatformReply &reply, Micros at) {
+        std::vector<RolloutMember> members;
+        for (const PlatformObject &object : reply.items) {
+            if (const auto record = options.sites.decodeUpstream(object); record && record->service == options.settings.engineService && !record->draining) {
+                members.push_back({ .id = record->id, .zone = record->zone, .address = record->address });
+            }
+        }
+        std::optional<std::uint32_t> wave = waveOf(members, options.settings.engineAddress);
+        if (!wave) {
+            // Without a list the waves cannot be computed; a wave drawn from the address spreads the orders too.
+            constexpr std::size_t AssumedWaves = 6;
+            wave = static_cast<std::uint32_t>(std::hash<std::string>{}(options.settings.engineAddress) % AssumedWaves);
+        }
+        logEvent(LogLevel::Info, "weights_wave", { { "version", version }, { "wave", *wave }, { "members", members.size() }, { "error", reply.error } });
+        rollout.setTarget(version, *wave, at);
+        for (const ConnectionId gateway : gateways) {
+            endpoint.send(gateway, known());
+        }
+    });
+}
+
+void Sidecar::Impl::adoptConfig(const Json::Value &spec, std::string_view source)
+{
+    const std::optional<SiteConfig> config = options.sites.decodeConfig(spec);
+    if (!config || config->version <= configVersion) {
+        return;
+    }
+    configVersion = config->version;
+    configText = writeJson(spec);
+    logEvent(LogLevel::Info, "configuration_known", { { "version", configVersion }, { "source", source } });
+    for (const ConnectionId gateway : gateways) {
+        endpoint.send(gateway, known());
+    }
+}
+
+KnownVersions Sidecar::Impl::known() const
+{
+    return { .configuration = configVersion, .model = model, .weights = rollout.target() };
+}
+
+void Sidecar::Impl::onMessage(ConnectionId connection, Message message)
+{
+    if (const auto *const peer = std::get_if<KnownVersions>(&message)) {
+        if (peer->configuration > configVersion) {
+            endpoint.send(connection, ConfigPull{ .have = configVersion });
+        }
+        if (peer->weights > rollout.target() && !peer->model.empty()) {
+            onWeights(peer->model, peer->weights, "peer");
+        }
+    } else if (std::holds_alternative<ConfigPull>(message)) {
+        endpoint.send(connection, ConfigData{ .version = configVersion, .digest = {}, .text = configText });
+    } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
+        if (const auto spec = parseJson(data->text)) {
+            adoptConfig(*spec, "peer");
+        }
+    }
+}
+
+EngineNews Sidecar::Impl::news() const
+{
+    return { .queued = report.queued,
+             .running = report.running,
+             .usedTokens = report.usedTokens,
+             .totalTokens = report.totalTokens,
+             .weightsVersion = reportKnown ? report.weightsVersion : 0,
+             .closed = closed || !reportKnown,
+             .changes = {},
+             .gateways = static_cast<std::uint32_t>(gateways.size()) };
+}
+
+void Sidecar::Impl::sendNews(bool force)
+{
+    const Micros now = monotonicNow();
+    EngineNews next = news();
+    const bool changed = !pending.empty() || pendingReset || next.queued != lastSent.queued || next.running != lastSent.running
+        || next.usedTokens != lastSent.usedTokens || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
+    const Micros interval = changed ? NewsInterval : IdleNewsInterval;
+    const bool urgent = force || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
+    if (gateways.empty() || (!urgent && now - lastNews < interval)) {
+        return;
+    }
+    lastNews = now;
+    lastSent = next;
+    next.cacheReset = std::exchange(pendingReset, false);
+    const std::size_t count = std::min(pending.size(), MaxChangesPerMessage);
+    next.changes.assign(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
+    pending.erase(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
+    for (const ConnectionId gateway : gateways) {
+        endpoint.send(gateway, next);
+    }
+}
+
+void Sidecar::Impl::sendSnapshot(ConnectionId connection)
+{
+    EngineNews first = news();
+    first.cacheReset = true;
+    for (const auto &[salt, part] : held) {
+        first.changes.push_back({ .salt = salt, .part = part, .held = true });
+        if (first.changes.size() >= MaxChangesPerMessage) {
+            endpoint.send(connection, first);
+            first.changes.clear();
+            first.cacheReset = false;
+        }
+    }
+    endpoint.send(connection, first);
+    endpoint.send(connection, known());
+}
+
+Sidecar::Sidecar(SidecarOptions options)
+    : impl_(std::make_shared<Impl>(std::move(options)))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+std::error_code Sidecar::start()
+{
+    return impl_->start();
+}
+
+void Sidecar::beginShutdown()
+{
+    impl_->beginShutdown();
+}
+
+Json::Value Sidecar::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["weights"] = Json::UInt64(impl_->report.weightsVersion);
+    state["target"] = Json::UInt64(impl_->rollout.target());
+    state["closed"] = impl_->closed;
+    state["gateways"] = Json::UInt64(impl_->gateways.size());
+    state["parts"] = Json::UInt64(impl_->held.size());
+    state["configuration"] = Json::UInt64(impl_->configVersion);
+    return state;
+}
+
+} // namespace Carobhall
--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -280,7 +280,7 @@
     Micros retryBase = 100 * MicrosPerMilli;
     Micros retryCap = MicrosPerSecond;
     std::function<void(const PlatformObject &, Micros now)> onObject;   ///< Each newer version once, in order.
-    std::function<void(const std::string &name, Micros now)> onDeleted; ///< May be empty.
+    std::function<void(const std::string &name, Micros now)> onDeleted{}; ///< May be empty.
 };
 
 /// Follows the objects of one kind. Not thread-safe. The client must outlive it.
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -11,7 +11,8 @@
 //   3. Configuration    ConfigOffer, ConfigPull, ConfigData
 //   4. Account limits   GrantAsk, Grant
 //   5. State dump       DumpAsk, Dump
-//   6. Codec            encode(), decode()
+//   6. Engines          EngineNews, KnownVersions
+//   7. Codec            encode(), decode()
 
 #include "carobhall/base.h"
 
@@ -274,11 +275,46 @@
     MSGPACK_DEFINE(id, json)
 };
 
-// 6. Codec ----------------------------------------------------------------------------------------
+// 6. Engines --------------------------------------------------------------------------------------
+
+/// One prompt part that entered or left an engine's cache.
+struct CacheChange {
+    std::string salt;
+    std::string part;
+    bool held = false;
+
+    MSGPACK_DEFINE(salt, part, held)
+};
+
+/// What a process beside a model server tells the gateways of it. Sent when something changed, and at least every second.
+struct EngineNews {
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint64_t usedTokens = 0;
+    std::uint64_t totalTokens = 0;
+    std::uint64_t weightsVersion = 0; ///< 0: not known yet.
+    bool closed = false;              ///< It is about to load or is loading weights.
+    bool cacheReset = false;          ///< Everything known of its cache before this message is void.
+    std::vector<CacheChange> changes; ///< In order.
+    std::uint32_t gateways = 0;       ///< Gateways that are connected.
+
+    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways)
+};
+
+/// The newest versions that a process knows, so that its peers learn of those that the platform withholds from them.
+struct KnownVersions {
+    std::uint64_t configuration = 0;
+    std::string model;
+    std::uint64_t weights = 0; ///< Version named for `model`; 0: none is known.
+
+    MSGPACK_DEFINE(configuration, model, weights)
+};
+
+// 7. Codec ----------------------------------------------------------------------------------------
 
 /// All messages. The position in the list is the type number on the wire, so new messages go to the end.
-using Message
-    = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantAsk, Grant, DumpAsk, Dump>;
+using Message = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantAsk, Grant,
+                             DumpAsk, Dump, EngineNews, KnownVersions>;
 
 /// The bytes of \p message. Thread-safe.
 [[nodiscard]] std::string encode(const Message &message);
--- a/packages/wire/include/carobhall/wire.h
+++ b/packages/wire/include/carobhall/wire.h
@@ -56,8 +56,8 @@
     std::string name;
     std::string zone; ///< Availability zone.
     Incarnation incarnation = 0;
-    std::uint8_t kind = 0; ///< A ProcessKind.
-    std::string upstream;  ///< Of an agent: the name of its upstream in the environment document.
+    std::uint8_t kind = 0;  ///< A ProcessKind.
+    std::string upstream{}; ///< Of an agent: the name of its upstream in the environment document.
 
     MSGPACK_DEFINE(name, zone, incarnation, kind, upstream)
 };
