Weigh engines by price of a read, sum demand over gateways, refuse early

A gateway saw only its own sixth of an engine's backlog, and weighed a second read of a part below the delay of a longer queue. Change: gateways tell sidecars the tokens they wait for, and get the sum; costs follow the price of a read; requests of lower rank are refused when the queue would make urgent ones late; servers without a report or with weights older than the deadline are not used; a silent stream is checked again when no repeat was allowed; engines close 0.9 s before an order. Ruled out: too little capacity (nine engines read 340,000 tokens/s, the burst needs 245,000 with its parts cached).

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -34,6 +34,7 @@
     std::uint64_t usedTokens = 0;  ///< Memory that cannot be freed.
     std::uint64_t totalTokens = 0; ///< 0: not known.
     std::uint64_t weightsVersion = 0;
+    std::uint64_t unreadTokens = 0; ///< Prompt tokens that all gateways wait for, as far as the agent knows.
     bool closed = false; ///< It is about to load or is loading weights and takes no new requests.
 };
 
@@ -49,7 +50,8 @@
     // Counted by this process.
     std::uint32_t inFlight = 0;
     std::uint64_t unreadTokens = 0; ///< Prompt tokens of its requests that have produced nothing yet.
-    std::uint64_t recentTokens = 0; ///< Memory of requests sent since the last report.
+    std::uint64_t reportedUnread = 0;  ///< Value of unreadTokens that the agent was told last.
+    std::uint64_t recentTokens = 0;  ///< Memory of requests sent since the last report.
     std::uint32_t failuresInRow = 0;
     Micros avoidUntil = 0;
     double failureShare = 0.0; ///< Moving average over responses, 0 to 1.
@@ -71,7 +73,7 @@
     std::vector<PromptPart> parts{}; ///< The last one belongs to the request alone.
     std::uint64_t outputTokens = 0;
     std::string isolatedAccount{}; ///< Empty: shares parts with others.
-    Micros remaining = 0;          ///< Until the request's deadline.
+    Micros longestWait = 0; ///< A longer wait for the first token is not worth while, for it or for others.
 };
 
 struct EngineChoice {
@@ -80,6 +82,7 @@
     std::uint64_t weightsVersion = 0;
     std::string fetchFrom{};         ///< Address of a holder of more parts than `upstream` holds; empty: none.
     std::uint64_t missingTokens = 0; ///< Shared tokens that the upstream does not hold.
+    std::uint64_t rereadTokens = 0; ///< Of these, tokens that another upstream holds or is reading.
     std::uint64_t readTokens = 0;    ///< Tokens that it is expected to read, after the transfer.
     Micros expected = 0;             ///< Estimated time to the first token.
 };
@@ -129,9 +132,14 @@
 class UpstreamTable
 {
 public:
-    UpstreamTable(Locality locality, std::uint64_t seed);
+    /// From the platform's pages: a request must not begin on weights that were replaced this long ago.
+    static constexpr Micros DefaultWeightsDeadline = 8 * MicrosPerSecond;
+
+    UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline = DefaultWeightsDeadline);
 
     void update(UpstreamRecord record, Micros now);
+    /// The newest weights that have been named. Servers that stay on older ones for too long are not used.
+    void noteWeightsTarget(std::uint64_t version, Micros now);
     /// The record left the platform's list.
     void remove(std::string_view id, Micros now);
     /// The agent at \p ip reported. Returns false when no engine is known there.
@@ -139,6 +147,8 @@
     void noteCached(std::string_view ip, std::string_view salt, std::string_view partId, bool held, Micros now);
     /// The agent's record of the cache starts anew.
     void clearCached(std::string_view ip);
+    /// The model server at \p ip, or nullptr.
+    [[nodiscard]] UpstreamRef engineAt(std::string_view ip) const;
 
     /// \p tried are upstreams that the request has been sent to.
     [[nodiscard]] UpstreamRef choosePlain(const Service &service, std::span<const UpstreamRef> tried, Micros now);
@@ -162,17 +172,21 @@
 
 private:
     [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
-    [[nodiscard]] UpstreamRef engineAt(std::string_view ip) const;
     [[nodiscard]] double distancePenalty(std::string_view zone) const;
+    /// The upstream of this region that reads \p part first when none has it; the same in all processes of the region.
+    [[nodiscard]] std::string homeOf(const PromptPart &part, std::span<const UpstreamRef> among) const;
     struct Fetch;
     [[nodiscard]] Fetch bestFetch(const Upstream &target, std::span<const PartKey> keys, std::span<const std::uint32_t> tokens, std::size_t held,
                                   const EngineTraits &engine) const;
 
     Locality locality_;
     std::mt19937_64 random_;
+    Micros weightsDeadline_;
     std::map<std::string, UpstreamRef, std::less<>> byId_;
     std::vector<UpstreamRef> byNumber_;
     PromptDirectory directory_;
+    std::uint64_t weightsTarget_ = 0;
+    Micros weightsTargetSince_ = 0;
 };
 
 } // namespace Carobhall
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Carobhall
@@ -20,6 +21,10 @@
 constexpr Micros LeastSilence = 100 * MicrosPerMilli;
 /// A resumable stream goes on elsewhere after such a silence. Callers abandon a stream after two seconds or more.
 constexpr Micros StreamSilence = 1200 * MicrosPerMilli;
+constexpr Micros SilenceRecheck = 300 * MicrosPerMilli; ///< When no repeat was allowed.
+
+/// Share of the most urgent requests' target that less urgent ones may make them wait at a model server.
+constexpr double UrgentShareOfTarget = 0.8;
 
 /// Time that an answer needs back to the caller; an upstream stops that much earlier.
 constexpr Micros ReturnMargin = 20 * MicrosPerMilli;
@@ -119,6 +124,20 @@
     return route_->targets.empty() ? std::string() : route_->targets.back().service;
 }
 
+Micros Exchange::longestWait() const
+{
+    // An engine reads prompts one after the other, so that a long queue of less urgent ones makes urgent ones late. A queue
+    // of this length keeps the engine busy; a longer one only delays, and its requests are better told at once to return.
+    Micros longest = std::numeric_limits<Micros>::max();
+    for (const Route &other : options_.routes->config().routes) {
+        const bool sameService = std::ranges::any_of(other.targets, [this](const RouteTarget &target) { return target.service == service_->name; });
+        if (sameService && other.carriesPrompt && other.priority < route_->priority && other.targetLatency > 0) {
+            longest = std::min(longest, static_cast<Micros>(static_cast<double>(other.targetLatency) * UrgentShareOfTarget));
+        }
+    }
+    return longest;
+}
+
 Micros Exchange::retryDelay(Micros base) const
 {
     // Spread over half to one and a half times the pause, so that refused callers do not return together.
@@ -155,7 +174,7 @@
                                    .parts = request_.parts,
                                    .outputTokens = request_.outputTokens,
                                    .isolatedAccount = account_ != nullptr && account_->isolated ? account_->name : std::string(),
-                                   .remaining = remaining };
+                                   .longestWait = std::min(remaining, longestWait()) };
         auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, options_.routes->cacheStore(), tried_, now);
         if (const auto *const reason = std::get_if<RefusalReason>(&chosen)) {
             if (verdict_ != Verdict::NotRun) {
@@ -237,13 +256,18 @@
 {
     const Micros now = monotonicNow();
     if (route_->kind == RequestKind::Streaming) {
+        // Before its first token a request may be waiting as expected; it is not moved to the end of another queue.
+        const Micros waiting = attempt_->readCounted ? 2 * attempt_->choice.expected : 0;
+        const Micros limit = StreamSilence + waiting;
         const Micros silentFor = now - attempt_->lastEventAt;
-        if (silentFor < StreamSilence) {
-            silenceTimer_.startOnce(StreamSilence - silentFor, [this] { onSilence(); });
+        if (silentFor < limit) {
+            silenceTimer_.startOnce(limit - silentFor, [this] { onSilence(); });
             return;
         }
     }
-    if (sent_ >= route_->maxAttempts || options_.context->upstreams->readyCount(service_->name) < 2 || !options_.context->repeats->take(service_->name, now)) {
+    if (sent_ >= route_->maxAttempts || options_.context->upstreams->readyCount(service_->name) < 2        || !options_.context->repeats->take(service_->name, now)) {
+        // The next event or a later repeat may still save the request.
+        silenceTimer_.startOnce(SilenceRecheck, [this] { onSilence(); });
         return;
     }
     const std::shared_ptr<Exchange> keep = shared_from_this();
@@ -513,6 +537,7 @@
                { "upstream", attempt_ ? attempt_->upstream->record.id : std::string("-") },
                { "sent", sent_ },
                { "missing_tokens", attempt_ ? attempt_->choice.missingTokens : 0 },
+               { "reread_tokens", attempt_ ? attempt_->choice.rereadTokens : 0 },
                { "fetch", attempt_ ? attempt_->choice.fetchFrom : std::string() },
                { "weights", attempt_ ? attempt_->choice.weightsVersion : 0 },
                { "expected_ms", attempt_ ? attempt_->choice.expected / MicrosPerMilli : 0 },
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -70,6 +70,8 @@
     void refuse(unsigned status, std::string_view reason, Micros retryAfter);
     void fail(unsigned status, std::string_view reason);
     void done(unsigned status, std::string_view outcome);
+    /// How long its first token may take before the request is refused instead.
+    [[nodiscard]] Micros longestWait() const;
     [[nodiscard]] Micros retryDelay(Micros base) const;
     [[nodiscard]] std::vector<HeaderField> answerFields(const ResponseHead &head) const;
 
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -55,6 +55,9 @@
             endpoint_.close(old);
             link.open = false;
         }
+        if (link.open) {
+            tellDemand(ip, link);
+        }
         if (link.connection == 0 && now >= link.dialAfter) {
             link.dialAfter = now + RedialDelay;
             link.connection = endpoint_.dial(ip + ":" + std::to_string(options_.port));
@@ -63,6 +66,21 @@
     }
 }
 
+void SidecarLinks::tellDemand(const std::string &ip, const Link &link)
+{
+    const UpstreamRef engine = options_.upstreams->engineAt(ip);
+    if (!engine) {
+        return;
+    }
+    const std::uint64_t current = engine->unreadTokens;
+    const std::uint64_t told = engine->reportedUnread;
+    const std::uint64_t difference = current > told ? current - told : told - current;
+    if (difference >= LeastDemandChange || (current == 0 && told != 0)) {
+        engine->reportedUnread = current;
+        endpoint_.send(link.connection, EngineDemand{ .unreadTokens = current });
+    }
+}
+
 void SidecarLinks::announce()
 {
     for (const auto &[ip, link] : links_) {
@@ -100,6 +118,7 @@
                                .usedTokens = news->usedTokens,
                                .totalTokens = news->totalTokens,
                                .weightsVersion = news->weightsVersion,
+                               .unreadTokens = news->unreadTokens,
                                .closed = news->closed };
         options_.upstreams->noteEngine(ip, load, now);
         for (const CacheChange &change : news->changes) {
@@ -113,6 +132,7 @@
         if (known->weights > weights_) {
             model_ = known->model;
             weights_ = known->weights;
+            options_.upstreams->noteWeightsTarget(weights_, now);
             announce();
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -37,6 +37,7 @@
 private:
     /// A sidecar reports at least every second; a link that is silent for this long is replaced.
     static constexpr Micros SilenceLimit = 2500 * MicrosPerMilli;
+    static constexpr std::uint64_t LeastDemandChange = 1'000; ///< Tokens; an engine reads them in 24 ms.
     static constexpr Micros RedialDelay = 300 * MicrosPerMilli;
 
     struct Link {
@@ -46,6 +47,7 @@
         Micros dialAfter = 0;
     };
 
+    void tellDemand(const std::string &ip, const Link &link);
     [[nodiscard]] KnownVersions known() const;
     void onMessage(ConnectionId connection, Message message);
     void onClosed(ConnectionId connection, std::error_code error);
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -14,13 +14,15 @@
 
 /// Bytes between zones and regions are billed, and a link between regions is narrow: a request goes elsewhere only when its
 /// own zone is busier by this much.
-constexpr double SameRegionPenalty = 30'000.0;
-constexpr double OtherRegionPenalty = 150'000.0;
+constexpr double SameRegionPenalty = 25'000.0;
+constexpr double OtherRegionPenalty = 80'000.0;
 
 /// Prompt tokens that an engine reads per microsecond, for estimates. Engines of the described installations read 41 a ms.
 constexpr double ReadTokensPerMicro = 0.0414;
 /// Reading a part again that another engine holds costs the fleet capacity that others need; counted on top of the time.
-constexpr double RereadPenaltyPerToken = 60.0;
+constexpr double RereadPenaltyPerToken = 150.0;
+/// A transferred part takes memory in which another part is kept, which is then read again later by some chance.
+constexpr double CopyPenaltyPerToken = 30.0;
 /// Reads that several processes start at once go to one engine if its wait is at most this much longer.
 constexpr double SharedReadBonus = 60'000.0;
 /// A transfer of KV cache: its start, and the factors between zones and regions.
@@ -29,10 +31,15 @@
 constexpr double FetchRegionFactor = 10.0;
 /// Each running request lengthens a step for all: 12 us per token, over a prompt's wait of some steps.
 constexpr double RunningPenalty = 1'500.0;
-/// A queued request of unknown size, in tokens: the mean of short and long prompts.
-constexpr double QueuedTokens = 1'500.0;
+/// During a change of weights, servers that have the new ones go first: the others are about to close.
+constexpr double OldWeightsPenalty = 120'000.0;
+/// A model server whose agent has not reported yet may have any weights; it is used only if no other is.
+constexpr double UnknownEnginePenalty = 1'000'000.0;
+/// Share of the time allowed for a change of weights after which a server with older ones is not used any more.
+constexpr double OldWeightsShare = 0.8;
 /// Share of an engine's memory that new requests may fill. Above it running requests are pre-empted and read again.
 constexpr double MemoryShare = 0.9;
+constexpr double FullMemoryPenalty = 300'000.0;
 
 /// Weight of a new sample in the moving averages of health: the last ten responses count for two thirds.
 constexpr double HealthSampleWeight = 0.1;
@@ -50,17 +57,12 @@
     return address.substr(0, address.rfind(':'));
 }
 
-/// The same order of upstreams for a part in all processes.
-std::uint64_t rendezvousWeight(PartKey part, std::string_view id)
-{
-    return partKey(id, std::string_view(reinterpret_cast<const char *>(&part), sizeof(part)));
-}
-
 } // namespace
 
-UpstreamTable::UpstreamTable(Locality locality, std::uint64_t seed)
+UpstreamTable::UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline)
     : locality_(std::move(locality))
     , random_(seed)
+    , weightsDeadline_(weightsDeadline)
 {
 }
 
@@ -83,6 +85,14 @@
     (void)now;
 }
 
+void UpstreamTable::noteWeightsTarget(std::uint64_t version, Micros now)
+{
+    if (version > weightsTarget_) {
+        weightsTarget_ = version;
+        weightsTargetSince_ = now;
+    }
+}
+
 void UpstreamTable::remove(std::string_view id, Micros now)
 {
     if (const auto found = byId_.find(id); found != byId_.end() && found->second->present) {
@@ -254,6 +264,20 @@
     return best;
 }
 
+std::string UpstreamTable::homeOf(const PromptPart &part, std::span<const UpstreamRef> among) const
+{
+    std::string home;
+    std::uint64_t highest = 0;
+    for (const UpstreamRef &upstream : among) {
+        const std::uint64_t weight = partKey(upstream->record.id, part.id);
+        if (distanceTo(upstream->record.zone) != Distance::OtherRegion && weight >= highest) {
+            highest = weight;
+            home = upstream->record.id;
+        }
+    }
+    return home;
+}
+
 std::variant<EngineChoice, RefusalReason> UpstreamTable::chooseEngine(const PromptDemand &demand, const Service &service, const Service * /*store*/,
                                                                       std::span<const UpstreamRef> tried, Micros now)
 {
@@ -274,21 +298,20 @@
     bool anyOpen = false;
     std::vector<PartKey> keys(shared);
     std::uint64_t keyedVersion = 0;
-    std::string salt{};
-    std::uint64_t homeWeight = 0;
+    std::string salt;
     const std::vector<UpstreamRef> all = candidates(demand.service, tried, now);
+    const std::string home = shared == 0 ? std::string() : homeOf(demand.parts[shared - 1], all);
+    const bool oldIsBarred = now - weightsTargetSince_ > static_cast<Micros>(static_cast<double>(weightsDeadline_) * OldWeightsShare);
     for (const UpstreamRef &upstream : all) {
-        if (upstream->load.closed || upstream->weightsVersion() == 0) {
-            continue;
-        }
+        const std::uint64_t version = upstream->weightsVersion();
+        const bool old = version < weightsTarget_;
         const double capacity = static_cast<double>(upstream->load.totalTokens != 0 ? upstream->load.totalTokens : engine.cacheTokens);
-        const double used = static_cast<double>(upstream->load.usedTokens + upstream->recentTokens);
-        if (static_cast<double>(memory) > capacity) {
+        if (upstream->load.closed || version == 0 || (old && oldIsBarred) || static_cast<double>(memory) > capacity) {
             continue;
         }
         anyOpen = true;
-        if (upstream->weightsVersion() != keyedVersion || salt.empty()) {
-            keyedVersion = upstream->weightsVersion();
+        if (version != keyedVersion || salt.empty()) {
+            keyedVersion = version;
             salt = cacheSalt(keyedVersion, demand.isolatedAccount);
             for (std::size_t i = 0; i < shared; ++i) {
                 keys[i] = partKey(salt, demand.parts[i].id);
@@ -299,35 +322,33 @@
             ++held;
         }
         const Fetch fetch = bestFetch(*upstream, keys, tokens, held, engine);
-        std::uint64_t missing = 0;
-        std::uint64_t reread = 0;
+        double copied = 0.0;
+        double reread = 0.0;
         std::uint64_t unread = 0;
+        std::uint64_t missing = 0;
         for (std::size_t i = held; i < shared; ++i) {
             missing += tokens[i];
-            if (i >= fetch.depth) {
-                unread += tokens[i];
-                reread += directory_.holdersOf(keys[i]).empty() ? 0 : tokens[i];
+            if (i < fetch.depth) {
+                copied += tokens[i];
+                continue;
             }
+            unread += tokens[i];
+            const std::optional<UpstreamNumber> reader = directory_.readerOf(keys[i], now);
+            const bool elsewhere = reader ? *reader != upstream->number : !directory_.holdersOf(keys[i]).empty();
+            reread += elsewhere ? tokens[i] : 0;
         }
         const std::uint64_t reads = unread + (demand.parts.empty() ? 0 : demand.parts.back().tokens);
-        const double backlog = static_cast<double>(upstream->unreadTokens) + upstream->load.queued * QueuedTokens;
+        const double others = static_cast<double>(upstream->load.unreadTokens - std::min(upstream->load.unreadTokens, upstream->reportedUnread));
+        const double backlog = static_cast<double>(upstream->unreadTokens) + others;
         const double wait = (backlog + static_cast<double>(reads)) / ReadTokensPerMicro + fetch.micros + upstream->load.running * RunningPenalty;
-        double cost = wait + static_cast<double>(reread) * RereadPenaltyPerToken + distancePenalty(upstream->record.zone)
-            + upstream->failureShare * FailurePenalty;
+        double cost = wait + reread * RereadPenaltyPerToken + copied * CopyPenaltyPerToken + distancePenalty(upstream->record.zone)
+            + upstream->failureShare * FailurePenalty + (old ? OldWeightsPenalty : 0.0) + (upstream->loadAt == 0 ? UnknownEnginePenalty : 0.0);
         // Beyond its share of memory the request waits for others to end, or makes them wait.
-        const double excess = used + static_cast<double>(memory) - capacity * MemoryShare;
-        if (excess > 0.0) {
-            cost += 300'000.0 + excess / ReadTokensPerMicro;
-        }
-        if (held < shared && unread > 0) {
-            const std::optional<UpstreamNumber> reader = directory_.readerOf(keys[std::max(held, fetch.depth)], now);
-            if (reader) {
-                cost -= *reader == upstream->number ? static_cast<double>(unread) * RereadPenaltyPerToken : 0.0;
-            } else if (const std::uint64_t weight = rendezvousWeight(keys[held], upstream->record.id);
-                       upstream->record.zone == locality_.zone && weight > homeWeight) {
-                homeWeight = weight;
-                cost -= SharedReadBonus;
-            }
+        const double used = static_cast<double>(upstream->load.usedTokens + upstream->recentTokens);
+        const double excess = std::max(0.0, used + static_cast<double>(memory) - capacity * MemoryShare);
+        cost += excess > 0.0 ? FullMemoryPenalty + excess / ReadTokensPerMicro : 0.0;
+        if (unread > 0 && upstream->record.id == home) {
+            cost -= SharedReadBonus;
         }
         if (cost < bestCost) {
             bestCost = cost;
@@ -336,14 +357,15 @@
                      .weightsVersion = keyedVersion,
                      .fetchFrom = fetch.source ? fetch.source->record.address : std::string(),
                      .missingTokens = missing,
+                     .rereadTokens = static_cast<std::uint64_t>(reread),
                      .readTokens = reads,
-                     .expected = static_cast<Micros>(wait + std::max(0.0, excess) / ReadTokensPerMicro) };
+                     .expected = static_cast<Micros>(wait + excess / ReadTokensPerMicro) };
         }
     }
     if (!best.upstream) {
         return anyOpen ? RefusalReason::Full : RefusalReason::NoUpstream;
     }
-    if (best.expected > demand.remaining) {
+    if (best.expected > demand.longestWait) {
         return RefusalReason::Full;
     }
     return best;
--- a/packages/sidecar/include/carobhall/weights_rollout.h
+++ b/packages/sidecar/include/carobhall/weights_rollout.h
@@ -64,7 +64,7 @@
 struct RolloutOptions {
     std::uint32_t serversPerWave = 2;             ///< Loading slows when more servers load at once.
     Micros waveInterval = 450 * MicrosPerMilli;   ///< A load takes 0.38 s; the rest covers the delay of its report.
-    Micros closeTime = 350 * MicrosPerMilli;      ///< Longest wait for running requests to end before the order.
+    Micros closeTime = 900 * MicrosPerMilli;      ///< Longest wait for running requests to end before the order.
     Micros leastCloseTime = 120 * MicrosPerMilli; ///< Until the gateways know that the server is closed.
     Micros orderRetry = 300 * MicrosPerMilli;     ///< After an order that was not accepted.
     Micros loadTimeout = 3 * MicrosPerSecond;     ///< An accepted order whose effect does not show by now is given again.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -14,7 +14,7 @@
 constexpr Micros ReportInterval = 150 * MicrosPerMilli; ///< A report is free on the server's own machine, but costs processor time.
 constexpr Micros EventsWait = MicrosPerSecond;          ///< The longest that a server holds a call for events.
 constexpr Micros EventsPause = 80 * MicrosPerMilli;     ///< Collects the events of some requests in one answer.
-constexpr Micros NewsInterval = 200 * MicrosPerMilli;   ///< When the load has changed; it is that old at a gateway at most.
+constexpr Micros NewsInterval = 120 * MicrosPerMilli;   ///< When the load has changed; it is that old at a gateway at most.
 constexpr Micros IdleNewsInterval = MicrosPerSecond;    ///< Also tells gateways that the connection is alive.
 constexpr Micros EngineCallTimeout = 800 * MicrosPerMilli;
 constexpr std::size_t MaxChangesPerMessage = 500; ///< About 20 KB.
@@ -44,7 +44,7 @@
     SidecarOptions options;
     HttpClient http;
     Endpoint endpoint;
-    std::set<ConnectionId> gateways;
+    std::map<ConnectionId, std::uint64_t> gateways; ///< With the tokens that each waits for.
     std::unique_ptr<ObjectWatcher> configWatcher;
     std::unique_ptr<ObjectWatcher> weightsWatcher;
     WeightsRollout rollout;
@@ -64,6 +64,7 @@
     std::vector<CacheChange> pending;
     bool pendingReset = false;
     std::string model;
+    std::uint64_t requested = 0; ///< Newest version that was named; the rollout learns it with its wave.
     std::uint64_t configVersion = 0;
     std::string configText;
     Timer ticker;
@@ -81,7 +82,7 @@
                            .kind = static_cast<std::uint8_t>(ProcessKind::Agent) },
                  .onOpen =
                      [this](ConnectionId connection, const PeerInfo &peer) {
-                         gateways.insert(connection);
+                         gateways[connection] = 0;
                          logEvent(LogLevel::Info, "gateway_connected", { { "peer", peer.name }, { "gateways", gateways.size() } });
                          sendSnapshot(connection);
                      },
@@ -249,13 +250,14 @@
 
 void Sidecar::Impl::onWeights(const std::string &named, std::uint64_t version, std::string_view source)
 {
-    if (version <= rollout.target() || (!model.empty() && named != model)) {
+    if (version <= std::max(rollout.target(), requested) || (!model.empty() && named != model)) {
         return;
     }
     logEvent(LogLevel::Info, "weights_named", { { "model", named }, { "version", version }, { "before", rollout.target() }, { "source", source } });
     if (model.empty()) {
         model = named;
     }
+    requested = version;
     findWave(version, monotonicNow());
 }
 
@@ -276,7 +278,7 @@
         }
         logEvent(LogLevel::Info, "weights_wave", { { "version", version }, { "wave", *wave }, { "members", members.size() }, { "error", reply.error } });
         rollout.setTarget(version, *wave, at);
-        for (const ConnectionId gateway : gateways) {
+        for (const auto &[gateway, unread] : gateways) {
             endpoint.send(gateway, known());
         }
     });
@@ -291,14 +293,14 @@
     configVersion = config->version;
     configText = writeJson(spec);
     logEvent(LogLevel::Info, "configuration_known", { { "version", configVersion }, { "source", source } });
-    for (const ConnectionId gateway : gateways) {
-        endpoint.send(gateway, known());
+        for (const auto &[gateway, unread] : gateways) {
+            endpoint.send(gateway, known());
     }
 }
 
 KnownVersions Sidecar::Impl::known() const
 {
-    return { .configuration = configVersion, .model = model, .weights = rollout.target() };
+    return { .configuration = configVersion, .model = model, .weights = std::max(requested, rollout.target()) };
 }
 
 void Sidecar::Impl::onMessage(ConnectionId connection, Message message)
@@ -310,6 +312,10 @@
         if (peer->weights > rollout.target() && !peer->model.empty()) {
             onWeights(peer->model, peer->weights, "peer");
         }
+    } else if (const auto *const demand = std::get_if<EngineDemand>(&message)) {
+        if (const auto found = gateways.find(connection); found != gateways.end()) {
+            found->second = demand->unreadTokens;
+        }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         endpoint.send(connection, ConfigData{ .version = configVersion, .digest = {}, .text = configText });
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
@@ -321,6 +327,10 @@
 
 EngineNews Sidecar::Impl::news() const
 {
+    std::uint64_t unread = 0;
+    for (const auto &[gateway, tokens] : gateways) {
+        unread += tokens;
+    }
     return { .queued = report.queued,
              .running = report.running,
              .usedTokens = report.usedTokens,
@@ -328,7 +338,8 @@
              .weightsVersion = reportKnown ? report.weightsVersion : 0,
              .closed = closed || !reportKnown,
              .changes = {},
-             .gateways = static_cast<std::uint32_t>(gateways.size()) };
+             .gateways = static_cast<std::uint32_t>(gateways.size()),
+             .unreadTokens = unread };
 }
 
 void Sidecar::Impl::sendNews(bool force)
@@ -336,7 +347,7 @@
     const Micros now = monotonicNow();
     EngineNews next = news();
     const bool changed = !pending.empty() || pendingReset || next.queued != lastSent.queued || next.running != lastSent.running
-        || next.usedTokens != lastSent.usedTokens || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
+        || next.usedTokens != lastSent.usedTokens || next.unreadTokens != lastSent.unreadTokens || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
     const Micros interval = changed ? NewsInterval : IdleNewsInterval;
     const bool urgent = force || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
     if (gateways.empty() || (!urgent && now - lastNews < interval)) {
@@ -348,7 +359,7 @@
     const std::size_t count = std::min(pending.size(), MaxChangesPerMessage);
     next.changes.assign(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
     pending.erase(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
-    for (const ConnectionId gateway : gateways) {
+    for (const auto &[gateway, unread] : gateways) {
         endpoint.send(gateway, next);
     }
 }
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -11,7 +11,7 @@
 //   3. Configuration    ConfigOffer, ConfigPull, ConfigData
 //   4. Account limits   GrantAsk, Grant
 //   5. State dump       DumpAsk, Dump
-//   6. Engines          EngineNews, KnownVersions
+//   6. Engines          EngineNews, KnownVersions, EngineDemand
 //   7. Codec            encode(), decode()
 
 #include "carobhall/base.h"
@@ -297,8 +297,16 @@
     bool cacheReset = false;          ///< Everything known of its cache before this message is void.
     std::vector<CacheChange> changes; ///< In order.
     std::uint32_t gateways = 0;       ///< Gateways that are connected.
+    std::uint64_t unreadTokens = 0;   ///< Sum of what the gateways report with EngineDemand.
 
-    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways)
+    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways, unreadTokens)
+};
+
+/// What one gateway has sent to a model server and not yet seen the first token of.
+struct EngineDemand {
+    std::uint64_t unreadTokens = 0;
+
+    MSGPACK_DEFINE(unreadTokens)
 };
 
 /// The newest versions that a process knows, so that its peers learn of those that the platform withholds from them.
@@ -314,7 +322,7 @@
 
 /// All messages. The position in the list is the type number on the wire, so new messages go to the end.
 using Message = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantAsk, Grant,
-                             DumpAsk, Dump, EngineNews, KnownVersions>;
+                             DumpAsk, Dump, EngineNews, KnownVersions, EngineDemand>;
 
 /// The bytes of \p message. Thread-safe.
 [[nodiscard]] std::string encode(const Message &message);
