--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -35,7 +35,8 @@
     std::uint64_t totalTokens = 0; ///< 0: not known.
     std::uint64_t weightsVersion = 0;
     std::uint64_t unreadTokens = 0; ///< Prompt tokens that all gateways wait for, as far as the agent knows.
-    bool closed = false; ///< It is about to load or is loading weights and takes no new requests.
+    bool closing = false;           ///< It closes soon: what runs there then is disturbed.
+    bool closed = false;            ///< It is about to load or is loading weights and takes no new requests.
 };
 
 struct Upstream {
@@ -49,9 +50,9 @@
 
     // Counted by this process.
     std::uint32_t inFlight = 0;
-    std::uint64_t unreadTokens = 0; ///< Prompt tokens of its requests that have produced nothing yet.
-    std::uint64_t reportedUnread = 0;  ///< Value of unreadTokens that the agent was told last.
-    std::uint64_t recentTokens = 0;  ///< Memory of requests sent since the last report.
+    std::uint64_t unreadTokens = 0;   ///< Prompt tokens of its requests that have produced nothing yet.
+    std::uint64_t reportedUnread = 0; ///< Value of unreadTokens that the agent was told last.
+    std::uint64_t recentTokens = 0;   ///< Memory of requests sent since the last report.
     std::uint32_t failuresInRow = 0;
     Micros avoidUntil = 0;
     double failureShare = 0.0; ///< Moving average over responses, 0 to 1.
@@ -73,7 +74,7 @@
     std::vector<PromptPart> parts{}; ///< The last one belongs to the request alone.
     std::uint64_t outputTokens = 0;
     std::string isolatedAccount{}; ///< Empty: shares parts with others.
-    Micros longestWait = 0; ///< A longer wait for the first token is not worth while, for it or for others.
+    Micros longestWait = 0;        ///< A longer wait for the first token is not worth while, for it or for others.
 };
 
 struct EngineChoice {
@@ -82,7 +83,7 @@
     std::uint64_t weightsVersion = 0;
     std::string fetchFrom{};         ///< Address of a holder of more parts than `upstream` holds; empty: none.
     std::uint64_t missingTokens = 0; ///< Shared tokens that the upstream does not hold.
-    std::uint64_t rereadTokens = 0; ///< Of these, tokens that another upstream holds or is reading.
+    std::uint64_t rereadTokens = 0;  ///< Of these, tokens that another upstream holds or is reading.
     std::uint64_t readTokens = 0;    ///< Tokens that it is expected to read, after the transfer.
     Micros expected = 0;             ///< Estimated time to the first token.
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -88,7 +88,7 @@
             return;
         }
     }
-    if (options_.refuseNew) {
+    if (options_.refuseNew || (options_.refuseStreams && route_->kind == RequestKind::Streaming)) {
         refuse(503, "stopping", RetryAfterRejected);
         return;
     }
@@ -265,7 +265,7 @@
             return;
         }
     }
-    if (sent_ >= route_->maxAttempts || options_.context->upstreams->readyCount(service_->name) < 2        || !options_.context->repeats->take(service_->name, now)) {
+    if (sent_ >= route_->maxAttempts || options_.context->upstreams->readyCount(service_->name) < 2 || !options_.context->repeats->take(service_->name, now)) {
         // The next event or a later repeat may still save the request.
         silenceTimer_.startOnce(SilenceRecheck, [this] { onSilence(); });
         return;
@@ -518,6 +518,21 @@
     done(0, "caller_left");
 }
 
+void Exchange::processStops()
+{
+    if (over_) {
+        return;
+    }
+    const std::shared_ptr<Exchange> keep = shared_from_this();
+    if (attempt_ && attempt_->call) {
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+        attempt_->call->cancel();
+        endAttempt(AttemptResult::Abandoned);
+    }
+    done(0, "process_stopped");
+    options_.caller->breakOff();
+}
+
 void Exchange::done(unsigned status, std::string_view outcome)
 {
     if (std::exchange(over_, true)) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -30,7 +30,8 @@
     std::shared_ptr<CallerConnection> caller{};
     RequestHead head{};
     std::string body{};
-    bool refuseNew = false;                   ///< The process is about to stop.
+    bool refuseNew = false;     ///< The process is about to stop.
+    bool refuseStreams = false; ///< It stops before a long response may have ended.
     std::function<void(Exchange &)> onDone{}; ///< Once.
 };
 
@@ -46,6 +47,8 @@
     void begin(Micros now);
     /// The caller has closed its connection: upstreams stop working for it.
     void callerLeft();
+    /// The process stops before the request has ended.
+    void processStops();
     [[nodiscard]] const CallerConnection *caller() const;
 
 private:
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -21,7 +21,10 @@
 constexpr Micros KeepAccepting = 3 * MicrosPerSecond;
 /// Left for the last answers before the process is killed.
 constexpr Micros StopReserve = 700 * MicrosPerMilli;
-/// Share of the grace period in which new requests are still served: a stream takes up to some seconds.
+/// A stream may last longer than what is left of the grace period. Up to three seconds after SIGTERM the platform excuses one
+/// that is then cut; half a second is left for a request that is on its way.
+constexpr Micros ServeStreamsFor = 2500 * MicrosPerMilli;
+/// Share of the grace period in which other new requests are still served; they take well under a second.
 constexpr double ServeShareOfGrace = 0.55;
 
 } // namespace
@@ -50,6 +53,7 @@
     void onUpstream(const PlatformObject &object, Micros now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool refusesNew(Micros now) const;
+    [[nodiscard]] bool refusesStreams(Micros now) const;
     static void onReadiness(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer self);
 
     GatewayOptions options;
@@ -185,6 +189,11 @@
     return stoppingSince != 0 && now - stoppingSince > static_cast<Micros>(static_cast<double>(options.settings.stopGrace) * ServeShareOfGrace);
 }
 
+bool Gateway::Impl::refusesStreams(Micros now) const
+{
+    return stoppingSince != 0 && now - stoppingSince > std::min(ServeStreamsFor, options.settings.stopGrace / 2);
+}
+
 void Gateway::Impl::beginShutdown()
 {
     if (stoppingSince != 0) {
@@ -217,7 +226,11 @@
     for (const std::shared_ptr<CallerConnection> &caller : all) {
         caller->closeIfIdle();
     }
-    logEvent(LogLevel::Info, "stopped", { { "requests_cut", exchanges.size() }, { "after_ms", elapsed / MicrosPerMilli } });
+    const std::vector<std::shared_ptr<Exchange>> cut(exchanges.begin(), exchanges.end());
+    for (const std::shared_ptr<Exchange> &exchange : cut) {
+        exchange->processStops();
+    }
+    logEvent(LogLevel::Info, "stopped", { { "requests_cut", cut.size() }, { "after_ms", elapsed / MicrosPerMilli } });
     // One more turn of the main loop sends what the closed connections still hold.
     ticker.startOnce(100 * MicrosPerMilli, [this] { options.onStopped(); });
 }
@@ -252,6 +265,7 @@
                                                                       .head = std::move(head),
                                                                       .body = std::move(body),
                                                                       .refuseNew = refusesNew(now),
+ .refuseStreams = refusesStreams(now),
                                                                       .onDone = [this](Exchange &done) { exchanges.erase(done.shared_from_this()); } });
     exchanges.insert(exchange);
     exchange->begin(now);
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -119,6 +119,7 @@
                                .totalTokens = news->totalTokens,
                                .weightsVersion = news->weightsVersion,
                                .unreadTokens = news->unreadTokens,
+                               .closing = news->closing,
                                .closed = news->closed };
         options_.upstreams->noteEngine(ip, load, now);
         for (const CacheChange &change : news->changes) {
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -32,7 +32,9 @@
 /// Each running request lengthens a step for all: 12 us per token, over a prompt's wait of some steps.
 constexpr double RunningPenalty = 1'500.0;
 /// During a change of weights, servers that have the new ones go first: the others are about to close.
-constexpr double OldWeightsPenalty = 120'000.0;
+constexpr double OldWeightsPenalty = 60'000.0;
+/// A stream that is running when weights change loses most of its worth.
+constexpr double ClosingPenalty = 250'000.0;
 /// A model server whose agent has not reported yet may have any weights; it is used only if no other is.
 constexpr double UnknownEnginePenalty = 1'000'000.0;
 /// Share of the time allowed for a change of weights after which a server with older ones is not used any more.
@@ -342,7 +344,8 @@
         const double backlog = static_cast<double>(upstream->unreadTokens) + others;
         const double wait = (backlog + static_cast<double>(reads)) / ReadTokensPerMicro + fetch.micros + upstream->load.running * RunningPenalty;
         double cost = wait + reread * RereadPenaltyPerToken + copied * CopyPenaltyPerToken + distancePenalty(upstream->record.zone)
-            + upstream->failureShare * FailurePenalty + (old ? OldWeightsPenalty : 0.0) + (upstream->loadAt == 0 ? UnknownEnginePenalty : 0.0);
+            + upstream->failureShare * FailurePenalty + (old ? OldWeightsPenalty : 0.0) + (upstream->load.closing ? ClosingPenalty : 0.0)
+            + (upstream->loadAt == 0 ? UnknownEnginePenalty : 0.0);
         // Beyond its share of memory the request waits for others to end, or makes them wait.
         const double used = static_cast<double>(upstream->load.usedTokens + upstream->recentTokens);
         const double excess = std::max(0.0, used + static_cast<double>(memory) - capacity * MemoryShare);
--- a/packages/sidecar/include/carobhall/weights_rollout.h
+++ b/packages/sidecar/include/carobhall/weights_rollout.h
@@ -62,17 +62,18 @@
 [[nodiscard]] std::optional<std::uint32_t> waveOf(std::vector<RolloutMember> members, std::string_view address);
 
 struct RolloutOptions {
-    std::uint32_t serversPerWave = 2;             ///< Loading slows when more servers load at once.
-    Micros waveInterval = 450 * MicrosPerMilli;   ///< A load takes 0.38 s; the rest covers the delay of its report.
-    Micros closeTime = 900 * MicrosPerMilli;      ///< Longest wait for running requests to end before the order.
-    Micros leastCloseTime = 120 * MicrosPerMilli; ///< Until the gateways know that the server is closed.
-    Micros orderRetry = 300 * MicrosPerMilli;     ///< After an order that was not accepted.
-    Micros loadTimeout = 3 * MicrosPerSecond;     ///< An accepted order whose effect does not show by now is given again.
+    std::uint32_t serversPerWave = 2;           ///< Loading slows when more servers load at once.
+    Micros waveInterval = 450 * MicrosPerMilli; ///< A load takes 0.38 s; the rest covers the delay of its report.
+    Micros closeTime = 900 * MicrosPerMilli;    ///< Longest wait for running requests to end; most streams take less.
+    Micros closedTime = 130 * MicrosPerMilli;   ///< From closing to the order: until all gateways know, and what is on its way has begun.
+    Micros orderRetry = 300 * MicrosPerMilli;   ///< After an order that was not accepted.
+    Micros loadTimeout = 3 * MicrosPerSecond;   ///< An accepted order whose effect does not show by now is given again.
 };
 
 struct RolloutStep {
-    bool closed = false; ///< Gateways send no new requests.
-    bool order = false;  ///< Order `version` now, if the server's sequence is still `sequence`.
+    bool closing = false; ///< Gateways prefer other servers, so that running requests end before the order.
+    bool closed = false;  ///< Gateways send no new requests.
+    bool order = false;   ///< Order `version` now, if the server's sequence is still `sequence`.
     std::uint64_t version = 0;
     std::uint64_t sequence = 0;
 };
@@ -91,7 +92,7 @@
     void ordered(OrderResult result, Micros now);
 
 private:
-    enum class Phase : std::uint8_t { Current, Waiting, Closing, Ordering, Loading };
+    enum class Phase : std::uint8_t { Current, Waiting, Closing, Closed, Ordering, Loading };
 
     RolloutOptions options_;
     Phase phase_ = Phase::Current;
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -54,6 +54,7 @@
     bool readingEvents = false;
     bool ordering = false;
     bool closed = false;
+    bool closing = false;
     Micros nextReport = 0;
     Micros nextEvents = 0;
     Micros lastNews = 0;
@@ -139,9 +140,13 @@
     }
     if (reportKnown && !ordering) {
         const RolloutStep step = rollout.step(report, now);
-        if (step.closed != closed) {
+        if (step.closed != closed || step.closing != closing) {
             closed = step.closed;
-            logEvent(LogLevel::Info, closed ? "engine_closed" : "engine_opened",
+            closing = step.closing;
+            logEvent(LogLevel::Info,
+                     closed        ? "engine_closed"
+                         : closing ? "engine_closing"
+                                   : "engine_opened",
                      { { "weights", report.weightsVersion }, { "target", rollout.target() }, { "running", report.running }, { "queued", report.queued } });
             sendNews(true);
         }
@@ -293,8 +298,8 @@
     configVersion = config->version;
     configText = writeJson(spec);
     logEvent(LogLevel::Info, "configuration_known", { { "version", configVersion }, { "source", source } });
-        for (const auto &[gateway, unread] : gateways) {
-            endpoint.send(gateway, known());
+    for (const auto &[gateway, unread] : gateways) {
+        endpoint.send(gateway, known());
     }
 }
 
@@ -337,6 +342,7 @@
              .totalTokens = report.totalTokens,
              .weightsVersion = reportKnown ? report.weightsVersion : 0,
              .closed = closed || !reportKnown,
+             .closing = closing,
              .changes = {},
              .gateways = static_cast<std::uint32_t>(gateways.size()),
              .unreadTokens = unread };
@@ -347,7 +353,8 @@
     const Micros now = monotonicNow();
     EngineNews next = news();
     const bool changed = !pending.empty() || pendingReset || next.queued != lastSent.queued || next.running != lastSent.running
-        || next.usedTokens != lastSent.usedTokens || next.unreadTokens != lastSent.unreadTokens || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
+        || next.usedTokens != lastSent.usedTokens || next.unreadTokens != lastSent.unreadTokens || next.closed != lastSent.closed
+        || next.weightsVersion != lastSent.weightsVersion;
     const Micros interval = changed ? NewsInterval : IdleNewsInterval;
     const bool urgent = force || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
     if (gateways.empty() || (!urgent && now - lastNews < interval)) {
--- a/packages/sidecar/src/weights_rollout.cpp
+++ b/packages/sidecar/src/weights_rollout.cpp
@@ -68,17 +68,22 @@
         phaseSince_ = now;
     }
     if (phase_ == Phase::Closing) {
-        const Micros closedFor = now - phaseSince_;
         const bool idle = report.running == 0 && report.queued == 0;
-        result.order = !report.busy && now >= retryAt_ && closedFor >= options_.leastCloseTime && (idle || closedFor >= options_.closeTime);
+        if (idle || now - phaseSince_ >= options_.closeTime) {
+            phase_ = Phase::Closed;
+            phaseSince_ = now;
+        }
+    } else if (phase_ == Phase::Closed) {
+        result.order = !report.busy && now >= retryAt_ && now - phaseSince_ >= options_.closedTime;
         if (result.order) {
             phase_ = Phase::Ordering;
         }
     } else if (phase_ == Phase::Loading && !report.busy && now - phaseSince_ >= options_.loadTimeout) {
-        phase_ = Phase::Closing;
+        phase_ = Phase::Closed;
         phaseSince_ = now;
     }
-    result.closed = phase_ != Phase::Waiting || report.busy;
+    result.closing = phase_ == Phase::Closing;
+    result.closed = phase_ == Phase::Closed || phase_ == Phase::Ordering || phase_ == Phase::Loading || report.busy;
     return result;
 }
 
@@ -94,7 +99,7 @@
     case OrderResult::Rejected:
     case OrderResult::Unknown:
         // An order whose answer was lost may still come into effect; the sequence in the next one keeps both from doing so.
-        phase_ = Phase::Closing;
+        phase_ = Phase::Closed;
         retryAt_ = now + options_.orderRetry;
         return;
     }
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -294,12 +294,13 @@
     std::uint64_t totalTokens = 0;
     std::uint64_t weightsVersion = 0; ///< 0: not known yet.
     bool closed = false;              ///< It is about to load or is loading weights.
+    bool closing = false;             ///< It is about to close; requests that can go elsewhere do.
     bool cacheReset = false;          ///< Everything known of its cache before this message is void.
     std::vector<CacheChange> changes; ///< In order.
     std::uint32_t gateways = 0;       ///< Gateways that are connected.
     std::uint64_t unreadTokens = 0;   ///< Sum of what the gateways report with EngineDemand.
 
-    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways, unreadTokens)
+    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways, unreadTokens, closing)
 };
 
 /// What one gateway has sent to a model server and not yet seen the first token of.
