Keep one engine in five for short prompts

Cause: urgent short prompts queue behind long ones, and every step that reads a piece of a long prompt takes 54 ms instead of 6, so that their streams take 2 s and are cut or mixed by each change of weights. Change: in each zone one engine in five takes long prompts only when the others are much busier.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -175,6 +175,9 @@
     [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
     [[nodiscard]] double distancePenalty(std::string_view zone) const;
     /// The upstream of this region that reads \p part first when none has it; the same in all processes of the region.
+    /// Model servers that are kept free of long prompts: one in five of each zone, at a different place in each zone's list, so
+    /// that they do not change weights at the same time. The same in all processes with the same list.
+    [[nodiscard]] std::vector<const Upstream *> shortLane(std::string_view service) const;
     [[nodiscard]] std::string homeOf(const PromptPart &part, std::span<const UpstreamRef> among) const;
     struct Fetch;
     [[nodiscard]] Fetch bestFetch(const Upstream &target, std::span<const PartKey> keys, std::span<const std::uint32_t> tokens, std::size_t held,
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -39,6 +39,14 @@
 constexpr double UnknownEnginePenalty = 1'000'000.0;
 /// Share of the time allowed for a change of weights after which a server with older ones is not used any more.
 constexpr double OldWeightsShare = 0.8;
+/// Prompts of up to this size are read within a step or two; longer ones are read in pieces between the tokens of others, which
+/// makes the streams of these take five times as long.
+constexpr std::uint64_t ShortPromptTokens = 2'500;
+/// One engine in so many is kept for short prompts: these are half of the requests and a tenth of the tokens.
+constexpr std::size_t EnginesPerLaneEngine = 5;
+/// Cost of a long prompt on an engine for short ones, and of the reverse: used when the others are that much busier.
+constexpr double LongInShortLanePenalty = 600'000.0;
+constexpr double ShortInLongLanePenalty = 100'000.0;
 /// Share of an engine's memory that new requests may fill. Above it running requests are pre-empted and read again.
 constexpr double MemoryShare = 0.9;
 constexpr double FullMemoryPenalty = 300'000.0;
@@ -266,6 +274,27 @@
     return best;
 }
 
+std::vector<const Upstream *> UpstreamTable::shortLane(std::string_view service) const
+{
+    std::map<std::string_view, std::vector<const Upstream *>> zones;
+    for (const auto &[id, upstream] : byId_) {
+        if (upstream->record.service == service && upstream->present && !upstream->record.draining) {
+            zones[upstream->record.zone].push_back(upstream.get());
+        }
+    }
+    std::vector<const Upstream *> lane;
+    std::size_t zoneRank = 0;
+    for (const auto &[zone, members] : zones) {
+        // A zone with a single server needs it for everything.
+        const std::size_t count = members.size() < 2 ? 0 : (members.size() + EnginesPerLaneEngine - 1) / EnginesPerLaneEngine;
+        for (std::size_t i = 0; i < count; ++i) {
+            lane.push_back(members[(zoneRank + i * EnginesPerLaneEngine) % members.size()]);
+        }
+        ++zoneRank;
+    }
+    return lane;
+}
+
 std::string UpstreamTable::homeOf(const PromptPart &part, std::span<const UpstreamRef> among) const
 {
     std::string home;
@@ -302,6 +331,8 @@
     std::uint64_t keyedVersion = 0;
     std::string salt;
     const std::vector<UpstreamRef> all = candidates(demand.service, tried, now);
+    const std::vector<const Upstream *> lane = shortLane(demand.service);
+    const bool isShort = promptTokens <= ShortPromptTokens;
     const std::string home = shared == 0 ? std::string() : homeOf(demand.parts[shared - 1], all);
     const bool oldIsBarred = now - weightsTargetSince_ > static_cast<Micros>(static_cast<double>(weightsDeadline_) * OldWeightsShare);
     for (const UpstreamRef &upstream : all) {
@@ -343,7 +374,9 @@
         const double others = static_cast<double>(upstream->load.unreadTokens - std::min(upstream->load.unreadTokens, upstream->reportedUnread));
         const double backlog = static_cast<double>(upstream->unreadTokens) + others;
         const double wait = (backlog + static_cast<double>(reads)) / ReadTokensPerMicro + fetch.micros + upstream->load.running * RunningPenalty;
-        double cost = wait + reread * RereadPenaltyPerToken + copied * CopyPenaltyPerToken + distancePenalty(upstream->record.zone)
+        const bool inLane = std::ranges::find(lane, upstream.get()) != lane.end();
+        const double lanePenalty = lane.empty() || inLane == isShort ? 0.0 : isShort ? ShortInLongLanePenalty : LongInShortLanePenalty;
+        double cost = wait + lanePenalty + reread * RereadPenaltyPerToken + copied * CopyPenaltyPerToken + distancePenalty(upstream->record.zone)
             + upstream->failureShare * FailurePenalty + (old ? OldWeightsPenalty : 0.0) + (upstream->load.closing ? ClosingPenalty : 0.0)
             + (upstream->loadAt == 0 ? UnknownEnginePenalty : 0.0);
         // Beyond its share of memory the request waits for others to end, or makes them wait.
