Save prompt parts to the store of KV cache and fetch them within its region

Change: engines in the store's region save parts of 1,000 tokens or more; gateways follow the store's events and weigh a fetch from it like one from an engine. The feed of cache events is one class for both programs.

--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -89,7 +89,9 @@
 
 LogField::LogField(std::string_view k, const std::error_code &v)
     : key(k)
-    , value(!v ? std::string_view("none") : v.category() == errorCategory() ? nameOf(static_cast<Errc>(v.value())) : std::string_view(v.category().name()))
+    , value(!v                                    ? std::string_view("none")
+                : v.category() == errorCategory() ? nameOf(static_cast<Errc>(v.value()))
+                                                  : std::string_view(v.category().name()))
 {
 }
 
--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -13,6 +13,7 @@
 //   2. Site codec     how an installation spells its objects
 //   3. Gateway
 
+#include "carobhall/cache_feed.h"
 #include "carobhall/exchange_codec.h"
 #include "carobhall/platform.h"
 #include "carobhall/runtime.h"
@@ -66,6 +67,7 @@
     NodeSettings settings{};
     ExchangeCodec codec{};
     SiteCodec sites{};
+    CacheFeedCodec feed{};
     PlatformClient *platform = nullptr;
     std::function<void()> onStopped{}; ///< All callers have their answers after beginShutdown().
 };
--- a/packages/gateway/include/carobhall/site.h
+++ b/packages/gateway/include/carobhall/site.h
@@ -78,6 +78,7 @@
     std::optional<EngineTraits> engine{}; ///< Set for model servers.
     std::string cacheStoreAddress{};      ///< Set for a store of KV cache, which takes no requests of callers.
     std::string cacheStoreZone{};
+    double cacheStoreLinkMbps = 0.0;
 };
 
 struct Account {
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -81,6 +81,7 @@
     UpstreamRef upstream{};
     std::string salt{};
     std::uint64_t weightsVersion = 0;
+    std::string saveTo{};            ///< Address of the store that takes what is read; empty: none.
     std::string fetchFrom{};         ///< Address of a holder of more parts than `upstream` holds; empty: none.
     std::uint64_t missingTokens = 0; ///< Shared tokens that the upstream does not hold.
     std::uint64_t rereadTokens = 0;  ///< Of these, tokens that another upstream holds or is reading.
@@ -148,13 +149,17 @@
     void noteCached(std::string_view ip, std::string_view salt, std::string_view partId, bool held, Micros now);
     /// The agent's record of the cache starts anew.
     void clearCached(std::string_view ip);
+    /// The store of KV cache that transfers may come from and go to. Replaces what was known of another one.
+    void setCacheStore(const Service &store);
+    void noteStored(std::string_view salt, std::string_view partId, bool held, Micros now);
+    void clearStored();
     /// The model server at \p ip, or nullptr.
     [[nodiscard]] UpstreamRef engineAt(std::string_view ip) const;
 
     /// \p tried are upstreams that the request has been sent to.
     [[nodiscard]] UpstreamRef choosePlain(const Service &service, std::span<const UpstreamRef> tried, Micros now);
-    [[nodiscard]] std::variant<EngineChoice, RefusalReason> chooseEngine(const PromptDemand &demand, const Service &service, const Service *store,
-                                                                         std::span<const UpstreamRef> tried, Micros now);
+    [[nodiscard]] std::variant<EngineChoice, RefusalReason> chooseEngine(const PromptDemand &demand, const Service &service, std::span<const UpstreamRef> tried,
+                                                                         Micros now);
 
     /// A request was handed to an upstream; \p readTokens and \p memoryTokens are 0 for plain services.
     void began(Upstream &upstream, std::uint64_t readTokens, std::uint64_t memoryTokens);
@@ -173,6 +178,7 @@
 
 private:
     [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
+    [[nodiscard]] bool sameRegion(std::string_view zone, std::string_view other) const;
     [[nodiscard]] double distancePenalty(std::string_view zone) const;
     /// The upstream of this region that reads \p part first when none has it; the same in all processes of the region.
     /// Model servers that are kept free of long prompts: one in five of each zone, at a different place in each zone's list, so
@@ -189,6 +195,8 @@
     std::map<std::string, UpstreamRef, std::less<>> byId_;
     std::vector<UpstreamRef> byNumber_;
     PromptDirectory directory_;
+    UpstreamRef store_; ///< Holds parts like an upstream, but takes no requests.
+    double storeLinkMbps_ = 0.0;
     std::uint64_t weightsTarget_ = 0;
     Micros weightsTargetSince_ = 0;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -175,7 +175,7 @@
                                    .outputTokens = request_.outputTokens,
                                    .isolatedAccount = account_ != nullptr && account_->isolated ? account_->name : std::string(),
                                    .longestWait = std::min(remaining, longestWait()) };
-        auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, options_.routes->cacheStore(), tried_, now);
+        auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, tried_, now);
         if (const auto *const reason = std::get_if<RefusalReason>(&chosen)) {
             if (verdict_ != Verdict::NotRun) {
                 fail(502, nameOf(*reason));
@@ -189,6 +189,7 @@
         instructions.cacheSalt = next->choice.salt;
         instructions.weightsVersion = next->choice.weightsVersion;
         instructions.fetchFrom = next->choice.fetchFrom;
+        instructions.saveTo = next->choice.saveTo;
     } else {
         next->upstream = options_.context->upstreams->choosePlain(*service_, tried_, now);
         if (!next->upstream) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -30,8 +30,8 @@
     std::shared_ptr<CallerConnection> caller{};
     RequestHead head{};
     std::string body{};
-    bool refuseNew = false;     ///< The process is about to stop.
-    bool refuseStreams = false; ///< It stops before a long response may have ended.
+    bool refuseNew = false;                   ///< The process is about to stop.
+    bool refuseStreams = false;               ///< It stops before a long response may have ended.
     std::function<void(Exchange &)> onDone{}; ///< Once.
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+/// Each answer of the store may cross regions, so that events are collected.
+constexpr Micros StoreFeedPause = 200 * MicrosPerMilli;
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Of the platform client, timeouts and links.
 
 /// After SIGTERM the platform still sends connections until it has missed two readiness checks a second apart; a zone without
@@ -50,6 +52,7 @@
     void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
     void onCallerClosed(CallerConnection &caller);
     bool adoptConfig(const Json::Value &spec, std::string_view source);
+    void followStore();
     void onUpstream(const PlatformObject &object, Micros now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool refusesNew(Micros now) const;
@@ -72,6 +75,9 @@
     std::unique_ptr<ObjectWatcher> configWatcher;
     std::unique_ptr<ObjectWatcher> upstreamWatcher;
     std::unique_ptr<SidecarLinks> links;
+    HttpClient http;
+    std::unique_ptr<CacheFeed> storeFeed;
+    std::string storeAddress;
     Timer ticker;
     Micros stoppingSince = 0;
     bool stopped = false;
@@ -88,6 +94,7 @@
     , context({ .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .metrics = &metrics, .codec = &options.codec, .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
+    , http({})
 {
 }
 
@@ -161,6 +168,9 @@
     configWatcher->tick(now);
     upstreamWatcher->tick(now);
     links->tick(routes.get(), now);
+    if (storeFeed) {
+        storeFeed->tick(now);
+    }
     pool.expire(now);
     // A copy, because a timeout removes its connection.
     const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
@@ -265,7 +275,7 @@
                                                                       .head = std::move(head),
                                                                       .body = std::move(body),
                                                                       .refuseNew = refusesNew(now),
- .refuseStreams = refusesStreams(now),
+                                                                      .refuseStreams = refusesStreams(now),
                                                                       .onDone = [this](Exchange &done) { exchanges.erase(done.shared_from_this()); } });
     exchanges.insert(exchange);
     exchange->begin(now);
@@ -304,9 +314,28 @@
                { "routes", config->routes.size() },
                { "accounts", config->accounts.size() } });
     routes = std::make_shared<RouteTable>(std::move(*config));
+    followStore();
     return true;
 }
 
+void Gateway::Impl::followStore()
+{
+    const Service *const store = routes->cacheStore();
+    if (store == nullptr || store->cacheStoreAddress == storeAddress) {
+        return;
+    }
+    storeAddress = store->cacheStoreAddress;
+    upstreams.setCacheStore(*store);
+    storeFeed = std::make_unique<CacheFeed>(CacheFeedOptions{
+        .http = &http,
+        .codec = options.feed,
+        .address = storeAddress,
+        .pause = StoreFeedPause,
+        .onChange = [this](const CacheChange &change) { upstreams.noteStored(change.salt, change.part, change.held, monotonicNow()); },
+        .onReset = [this] { upstreams.clearStored(); },
+    });
+}
+
 void Gateway::Impl::onUpstream(const PlatformObject &object, Micros now)
 {
     std::optional<UpstreamRecord> record = options.sites.decodeUpstream(object);
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -31,6 +31,8 @@
 constexpr double FetchRegionFactor = 10.0;
 /// Each running request lengthens a step for all: 12 us per token, over a prompt's wait of some steps.
 constexpr double RunningPenalty = 1'500.0;
+/// Shorter parts are read as quickly as they are fetched.
+constexpr std::uint64_t LeastSavedTokens = 1'000;
 /// During a change of weights, servers that have the new ones go first: the others are about to close.
 constexpr double OldWeightsPenalty = 60'000.0;
 /// A stream that is running when weights change loses most of its worth.
@@ -165,15 +167,48 @@
     }
 }
 
+void UpstreamTable::setCacheStore(const Service &store)
+{
+    if (store_ && store_->record.address == store.cacheStoreAddress) {
+        return;
+    }
+    clearStored();
+    store_ = std::make_shared<Upstream>();
+    store_->number = static_cast<UpstreamNumber>(byNumber_.size());
+    store_->record = { .id = store.name, .service = store.name, .address = store.cacheStoreAddress, .zone = store.cacheStoreZone };
+    storeLinkMbps_ = store.cacheStoreLinkMbps;
+    byNumber_.push_back(store_);
+}
+
+void UpstreamTable::noteStored(std::string_view salt, std::string_view partId, bool held, Micros now)
+{
+    if (store_ && held) {
+        directory_.add(partKey(salt, partId), store_->number, now);
+    } else if (store_) {
+        directory_.remove(partKey(salt, partId), store_->number);
+    }
+}
+
+void UpstreamTable::clearStored()
+{
+    if (store_) {
+        directory_.removeHolder(store_->number);
+    }
+}
+
+bool UpstreamTable::sameRegion(std::string_view zone, std::string_view other) const
+{
+    const auto a = locality_.regionOfZone.find(zone);
+    const auto b = locality_.regionOfZone.find(other);
+    return zone == other || (a != locality_.regionOfZone.end() && b != locality_.regionOfZone.end() && a->second == b->second);
+}
+
 Distance UpstreamTable::distanceTo(std::string_view zone) const
 {
     if (zone == locality_.zone) {
         return Distance::SameZone;
     }
-    const auto here = locality_.regionOfZone.find(locality_.zone);
-    const auto there = locality_.regionOfZone.find(zone);
-    const bool same = here != locality_.regionOfZone.end() && there != locality_.regionOfZone.end() && here->second == there->second;
-    return same ? Distance::SameRegion : Distance::OtherRegion;
+    return sameRegion(locality_.zone, zone) ? Distance::SameRegion : Distance::OtherRegion;
 }
 
 double UpstreamTable::distancePenalty(std::string_view zone) const
@@ -246,8 +281,14 @@
     }
     for (const UpstreamNumber number : directory_.holdersOf(keys[held])) {
         const UpstreamRef &source = byNumber_[number];
-        // A source that is loading may drop its cache in between; one with other weights holds parts of other weights.
-        if (!source || number == target.number || !source->present || source->record.draining || source->weightsVersion() != target.weightsVersion()) {
+        const bool isStore = source && source == store_;
+        if (!source || number == target.number) {
+            continue;
+        }
+        const bool near = sameRegion(target.record.zone, source->record.zone);
+        // A transfer from the store holds up its one link, between regions for ten times as long. A server with other weights
+        // may hold parts that these have made, and one that is gone costs a time-out.
+        if (isStore ? !near : !source->present || source->record.draining || source->weightsVersion() != target.weightsVersion()) {
             continue;
         }
         std::size_t depth = 0;
@@ -261,12 +302,9 @@
         if (depth <= held) {
             continue;
         }
-        const auto here = locality_.regionOfZone.find(target.record.zone);
-        const auto there = locality_.regionOfZone.find(source->record.zone);
-        const bool sameZone = target.record.zone == source->record.zone;
-        const bool sameRegion = here != locality_.regionOfZone.end() && there != locality_.regionOfZone.end() && here->second == there->second;
-        const double factor = sameZone ? 1.0 : sameRegion ? FetchZoneFactor : FetchRegionFactor;
-        const double micros = FetchSetupMicros + moved * engine.bytesPerToken * 8.0 / engine.linkMbps * factor;
+        const double factor = target.record.zone == source->record.zone ? 1.0 : near ? FetchZoneFactor : FetchRegionFactor;
+        const double mbps = isStore && storeLinkMbps_ > 0.0 ? std::min(storeLinkMbps_, engine.linkMbps) : engine.linkMbps;
+        const double micros = FetchSetupMicros + moved * engine.bytesPerToken * 8.0 / mbps * factor;
         if (depth > best.depth || (depth == best.depth && micros < best.micros)) {
             best = { .source = source, .depth = depth, .micros = micros };
         }
@@ -309,8 +347,8 @@
     return home;
 }
 
-std::variant<EngineChoice, RefusalReason> UpstreamTable::chooseEngine(const PromptDemand &demand, const Service &service, const Service * /*store*/,
-                                                                      std::span<const UpstreamRef> tried, Micros now)
+std::variant<EngineChoice, RefusalReason> UpstreamTable::chooseEngine(const PromptDemand &demand, const Service &service, std::span<const UpstreamRef> tried,
+                                                                      Micros now)
 {
     const EngineTraits &engine = *service.engine;
     const std::size_t shared = demand.parts.empty() ? 0 : demand.parts.size() - 1;
@@ -391,6 +429,8 @@
             best = { .upstream = upstream,
                      .salt = salt,
                      .weightsVersion = keyedVersion,
+                     .saveTo = store_ && unread >= LeastSavedTokens && sameRegion(upstream->record.zone, store_->record.zone) ? store_->record.address
+                                                                                                                              : std::string(),
                      .fetchFrom = fetch.source ? fetch.source->record.address : std::string(),
                      .missingTokens = missing,
                      .rereadTokens = static_cast<std::uint64_t>(reread),
--- a/packages/sidecar/include/carobhall/sidecar.h
+++ b/packages/sidecar/include/carobhall/sidecar.h
@@ -3,6 +3,7 @@
 // The sidecar: one process beside each model server. It orders the server's weights, follows its cache and load, and tells the
 // gateways; it also passes on configurations that the platform withholds from some of them.
 
+#include "carobhall/cache_feed.h"
 #include "carobhall/gateway.h"
 #include "carobhall/http_client.h"
 #include "carobhall/weights_rollout.h"
@@ -10,21 +11,11 @@
 namespace Carobhall
 {
 
-/// Cache events as a server tells them.
-struct CacheEvents {
-    std::uint64_t boot = 0; ///< Changes when the server restarts.
-    std::uint64_t next = 0; ///< Where the next call continues.
-    bool lost = false;      ///< Some events are missing.
-    std::vector<CacheChange> changes{};
-};
-
 /// How an installation's model servers are called; provided by the adapter in platform/. Paths begin with a slash.
 struct EngineCodec {
     HttpCall (*reportCall)(const std::string &address) = nullptr;
     std::optional<EngineReport> (*decodeReport)(const HttpReply &reply) = nullptr;
-    /// Waits up to \p wait for events after \p since.
-    HttpCall (*eventsCall)(const std::string &address, std::uint64_t since, Micros wait) = nullptr;
-    std::optional<CacheEvents> (*decodeEvents)(const HttpReply &reply) = nullptr;
+    CacheFeedCodec feed{};
     /// Orders weights if the server has accepted \p sequence orders. \p token never decreases for one server.
     HttpCall (*orderCall)(const std::string &address, const std::string &holder, const std::string &model, std::uint64_t version, std::uint64_t sequence,
                           std::uint64_t token)
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -12,8 +12,6 @@
 
 constexpr Micros TickInterval = 50 * MicrosPerMilli;
 constexpr Micros ReportInterval = 150 * MicrosPerMilli; ///< A report is free on the server's own machine, but costs processor time.
-constexpr Micros EventsWait = MicrosPerSecond;          ///< The longest that a server holds a call for events.
-constexpr Micros EventsPause = 80 * MicrosPerMilli;     ///< Collects the events of some requests in one answer.
 constexpr Micros NewsInterval = 120 * MicrosPerMilli;   ///< When the load has changed; it is that old at a gateway at most.
 constexpr Micros IdleNewsInterval = MicrosPerSecond;    ///< Also tells gateways that the connection is alive.
 constexpr Micros EngineCallTimeout = 800 * MicrosPerMilli;
@@ -29,8 +27,6 @@
     void tick();
     void readReport();
     void onReport(const HttpReply &reply);
-    void readEvents();
-    void onEvents(const HttpReply &reply);
     void giveOrder(const RolloutStep &step);
     void onWeights(const std::string &model, std::uint64_t version, std::string_view source);
     void findWave(std::uint64_t version, Micros now);
@@ -51,17 +47,13 @@
     EngineReport report;
     bool reportKnown = false;
     bool reporting = false;
-    bool readingEvents = false;
     bool ordering = false;
     bool closed = false;
     bool closing = false;
     Micros nextReport = 0;
-    Micros nextEvents = 0;
     Micros lastNews = 0;
     EngineNews lastSent;
-    std::uint64_t eventsBoot = 0;
-    std::uint64_t eventsNext = 0;
-    std::set<std::pair<std::string, std::string>> held; ///< Salt and part.
+    CacheFeed feed;
     std::vector<CacheChange> pending;
     bool pendingReset = false;
     std::string model;
@@ -94,6 +86,15 @@
                              logEvent(LogLevel::Info, "gateway_lost", { { "error", error }, { "gateways", gateways.size() } });
                          }
                      } })
+    , feed({ .http = &http,
+             .codec = options.engine.feed,
+             .address = options.settings.engineAddress,
+             .onChange = [this](const CacheChange &change) { pending.push_back(change); },
+             .onReset =
+                 [this] {
+                     pending.clear();
+                     pendingReset = true;
+                 } })
 {
 }
 
@@ -135,9 +136,7 @@
     if (!reporting && now >= nextReport) {
         readReport();
     }
-    if (!readingEvents && now >= nextEvents) {
-        readEvents();
-    }
+    feed.tick(now);
     if (reportKnown && !ordering) {
         const RolloutStep step = rollout.step(report, now);
         if (step.closed != closed || step.closing != closing) {
@@ -184,9 +183,7 @@
         logEvent(LogLevel::Info, "engine_weights",
                  { { "weights", read->weightsVersion }, { "before", report.weightsVersion }, { "target", rollout.target() } });
         // New weights empty the cache.
-        held.clear();
-        pending.clear();
-        pendingReset = true;
+        feed.clear();
     }
     reportKnown = true;
     report = *read;
@@ -195,48 +192,6 @@
     }
 }
 
-void Sidecar::Impl::readEvents()
-{
-    readingEvents = true;
-    HttpCall call = options.engine.eventsCall(options.settings.engineAddress, eventsNext, EventsWait);
-    call.timeout = EventsWait + EngineCallTimeout;
-    http.send(std::move(call), [this](const HttpReply &reply) { onEvents(reply); });
-}
-
-void Sidecar::Impl::onEvents(const HttpReply &reply)
-{
-    readingEvents = false;
-    nextEvents = monotonicNow() + EventsPause;
-    const std::optional<CacheEvents> events = options.engine.decodeEvents(reply);
-    if (!events) {
-        nextEvents += EventsWait / 2;
-        return;
-    }
-    if (events->boot != eventsBoot) {
-        held.clear();
-        pending.clear();
-        pendingReset = eventsBoot != 0;
-        const bool first = eventsBoot == 0;
-        eventsBoot = events->boot;
-        if (!first) {
-            // The numbers of the new process begin anew.
-            eventsNext = 0;
-            return;
-        }
-    }
-    if (events->lost) {
-        // What is held stays; parts that left unseen cost a read each, and a full list would stall the server.
-        logEvent(LogLevel::Info, "cache_events_lost", { { "since", eventsNext }, { "next", events->next } });
-    }
-    eventsNext = events->next;
-    for (const CacheChange &change : events->changes) {
-        const auto entry = std::make_pair(change.salt, change.part);
-        if (change.held ? held.insert(entry).second : held.erase(entry) > 0) {
-            pending.push_back(change);
-        }
-    }
-}
-
 void Sidecar::Impl::giveOrder(const RolloutStep &step)
 {
     ordering = true;
@@ -375,7 +330,7 @@
 {
     EngineNews first = news();
     first.cacheReset = true;
-    for (const auto &[salt, part] : held) {
+    for (const auto &[salt, part] : feed.held()) {
         first.changes.push_back({ .salt = salt, .part = part, .held = true });
         if (first.changes.size() >= MaxChangesPerMessage) {
             endpoint.send(connection, first);
@@ -411,7 +366,7 @@
     state["target"] = Json::UInt64(impl_->rollout.target());
     state["closed"] = impl_->closed;
     state["gateways"] = Json::UInt64(impl_->gateways.size());
-    state["parts"] = Json::UInt64(impl_->held.size());
+    state["parts"] = Json::UInt64(impl_->feed.held().size());
     state["configuration"] = Json::UInt64(impl_->configVersion);
     return state;
 }
--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -279,7 +279,7 @@
     Micros relistEvery = 30 * MicrosPerSecond; ///< Also notices a watch that is open but silent. Jittered by half.
     Micros retryBase = 100 * MicrosPerMilli;
     Micros retryCap = MicrosPerSecond;
-    std::function<void(const PlatformObject &, Micros now)> onObject;   ///< Each newer version once, in order.
+    std::function<void(const PlatformObject &, Micros now)> onObject;     ///< Each newer version once, in order.
     std::function<void(const std::string &name, Micros now)> onDeleted{}; ///< May be empty.
 };
 
