Let the limit of a long prompt's wait follow the length of queues

Change: PatienceLimit moves between 0.8 of the most urgent target and half of the own target with the mean queue.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -15,6 +15,7 @@
 //   2. Choices
 //   3. UpstreamTable
 
+#include "carobhall/patience_limit.h"
 #include "carobhall/prompt_directory.h"
 #include "carobhall/site.h"
 
@@ -74,7 +75,8 @@
     std::vector<PromptPart> parts{}; ///< The last one belongs to the request alone.
     std::uint64_t outputTokens = 0;
     std::string isolatedAccount{}; ///< Empty: shares parts with others.
-    Micros longestWait = 0;        ///< A longer wait for the first token is not worth while, for it or for others.
+    Micros shortLimit = 0;         ///< Longest wait for the first token in a flood, for the sake of more urgent requests.
+    Micros longLimit = 0;          ///< The same in calm times. At least shortLimit.
 };
 
 struct EngineChoice {
@@ -86,6 +88,7 @@
     std::uint64_t missingTokens = 0; ///< Shared tokens that the upstream does not hold.
     std::uint64_t rereadTokens = 0;  ///< Of these, tokens that another upstream holds or is reading.
     std::uint64_t readTokens = 0;    ///< Tokens that it is expected to read, after the transfer.
+    Micros queue = 0;                ///< Estimated time until the engine begins to read the request's prompt.
     Micros expected = 0;             ///< Estimated time to the first token.
 };
 
@@ -175,6 +178,7 @@
     [[nodiscard]] const std::map<std::string, UpstreamRef, std::less<>> &byId() const;
     [[nodiscard]] std::size_t readyCount(std::string_view service) const;
     [[nodiscard]] const PromptDirectory &directory() const;
+    [[nodiscard]] const PatienceLimit &patience() const;
 
 private:
     [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
@@ -195,7 +199,8 @@
     std::map<std::string, UpstreamRef, std::less<>> byId_;
     std::vector<UpstreamRef> byNumber_;
     PromptDirectory directory_;
-    UpstreamRef store_; ///< Holds parts like an upstream, but takes no requests.
+    PatienceLimit patience_; ///< For long prompts.
+    UpstreamRef store_;      ///< Holds parts like an upstream, but takes no requests.
     double storeLinkMbps_ = 0.0;
     std::uint64_t weightsTarget_ = 0;
     Micros weightsTargetSince_ = 0;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -25,6 +25,8 @@
 
 /// Share of the most urgent requests' target that less urgent ones may make them wait at a model server.
 constexpr double UrgentShareOfTarget = 0.8;
+/// Share of its own target that a request may wait for its first token in calm times; the rest covers errors of the estimate.
+constexpr double CalmShareOfTarget = 0.5;
 
 /// Time that an answer needs back to the caller; an upstream stops that much earlier.
 constexpr Micros ReturnMargin = 20 * MicrosPerMilli;
@@ -170,11 +172,14 @@
     if (service_->engine && !request_.parts.empty()) {
         const std::uint32_t rank = account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
         instructions.priority = rank;
+        const Micros shortLimit = std::min(remaining, longestWait());
         const PromptDemand demand{ .service = service_->name,
                                    .parts = request_.parts,
                                    .outputTokens = request_.outputTokens,
                                    .isolatedAccount = account_ != nullptr && account_->isolated ? account_->name : std::string(),
-                                   .longestWait = std::min(remaining, longestWait()) };
+                                   .shortLimit = shortLimit,
+                                   .longLimit = std::max(
+                                       shortLimit, std::min(remaining, static_cast<Micros>(static_cast<double>(route_->targetLatency) * CalmShareOfTarget))) };
         auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, tried_, now);
         if (const auto *const reason = std::get_if<RefusalReason>(&chosen)) {
             if (verdict_ != Verdict::NotRun) {
@@ -556,6 +561,8 @@
                { "reread_tokens", attempt_ ? attempt_->choice.rereadTokens : 0 },
                { "fetch", attempt_ ? attempt_->choice.fetchFrom : std::string() },
                { "weights", attempt_ ? attempt_->choice.weightsVersion : 0 },
+               { "queue_ms", attempt_ ? attempt_->choice.queue / MicrosPerMilli : 0 },
+               { "mean_queue_ms", options_.context->upstreams->patience().meanQueue() / MicrosPerMilli },
                { "expected_ms", attempt_ ? attempt_->choice.expected / MicrosPerMilli : 0 },
                { "first_ms", firstEventAt_ > 0 ? (firstEventAt_ - arrivedAt_) / MicrosPerMilli : -1 },
                { "total_ms", (now - arrivedAt_) / MicrosPerMilli },
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -435,13 +435,17 @@
                      .missingTokens = missing,
                      .rereadTokens = static_cast<std::uint64_t>(reread),
                      .readTokens = reads,
+                     .queue = static_cast<Micros>(backlog / ReadTokensPerMicro),
                      .expected = static_cast<Micros>(wait + excess / ReadTokensPerMicro) };
         }
     }
     if (!best.upstream) {
         return anyOpen ? RefusalReason::Full : RefusalReason::NoUpstream;
     }
-    if (best.expected > demand.longestWait) {
+    if (!isShort) {
+        patience_.noteQueue(best.queue);
+    }
+    if (best.expected > patience_.limit(demand.shortLimit, demand.longLimit)) {
         return RefusalReason::Full;
     }
     return best;
@@ -513,6 +517,11 @@
     }));
 }
 
+const PatienceLimit &UpstreamTable::patience() const
+{
+    return patience_;
+}
+
 const PromptDirectory &UpstreamTable::directory() const
 {
     return directory_;
