--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -1,2 +1,185 @@
 #define BOOST_TEST_MODULE http
 #include <boost/test/unit_test.hpp>
+
+#include "carobhall/channel.h"
+#include "carobhall/http_message.h"
+
+#include <glib.h>
+#include <rapidcheck.h>
+
+using namespace Carobhall;
+
+namespace
+{
+
+ReadProgress readRequest(const std::string &text)
+{
+    std::string buffer = text;
+    RequestReader reader({ .maxHeaderBytes = 4'096, .maxBodyBytes = 10'000 });
+    return reader.read(buffer);
+}
+
+template<typename Condition>
+bool iterateUntil(Condition condition)
+{
+    const Micros limit = monotonicNow() + 5 * MicrosPerSecond;
+    while (!condition() && monotonicNow() < limit) {
+        g_main_context_iteration(nullptr, FALSE);
+    }
+    return condition();
+}
+
+/// Two connected channels.
+struct Pair {
+    Pair()
+        : listener([this](int descriptor) {
+            accepted = Channel::adopt(descriptor, { .onData = [this] { received += std::exchange(accepted->input(), {}); },
+                                                    .onEnd = [this](ChannelEnd end) { acceptedEnd = end; } });
+        })
+    {
+        BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+        dialled = Channel::connect("127.0.0.1:" + std::to_string(listener.port()), { .onEnd = [this](ChannelEnd end) { dialledEnd = end; } });
+        BOOST_REQUIRE(dialled);
+        BOOST_REQUIRE(iterateUntil([this] { return accepted != nullptr; }));
+    }
+
+    ChannelListener listener;
+    std::shared_ptr<Channel> accepted;
+    std::shared_ptr<Channel> dialled;
+    std::string received;
+    std::optional<ChannelEnd> acceptedEnd;
+    std::optional<ChannelEnd> dialledEnd;
+};
+
+} // namespace
+
+// Guards against request smuggling: framing that two readers of the same bytes may understand differently.
+BOOST_AUTO_TEST_CASE(ambiguousFramingIsRefused)
+{
+    for (const char *const fields : {
+             "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+             "Content-Length: 5\r\nContent-Length: 6\r\n",
+             "Content-Length: -5\r\n",
+             "Content-Length: 5, 6\r\n",
+             "Content-Length: 0x5\r\n",
+             "Transfer-Encoding: gzip, chunked\r\n",
+             "Transfer-Encoding: chunked, identity\r\n",
+             "Transfer-Encoding: xchunked\r\n",
+             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+             "Content-Length : 5\r\n",
+         }) {
+        BOOST_TEST_CONTEXT(fields)
+        {
+            const ReadProgress progress = readRequest(std::string("POST /a/ HTTP/1.1\r\nHost: h\r\n") + fields + "\r\n0\r\n\r\nGET /b/ HTTP/1.1\r\n\r\n");
+            BOOST_TEST((progress == ReadProgress::Malformed));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(badChunksAndNoiseAreRefused)
+{
+    BOOST_TEST((readRequest("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n") == ReadProgress::Malformed));
+    BOOST_TEST((readRequest("\x16\x03\x01\x02 noise\r\n\r\n") == ReadProgress::Malformed));
+    BOOST_TEST((readRequest("GET / HTTP/1.1\r\nX: " + std::string(5'000, 'a') + "\r\n\r\n") == ReadProgress::HeadTooLarge));
+    BOOST_TEST((readRequest("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n") == ReadProgress::BodyTooLarge));
+}
+
+// Guards against a reader that depends on how the bytes are split into packets.
+BOOST_AUTO_TEST_CASE(messagesAreReadTheSameHoweverTheyAreSplit)
+{
+    const std::string first = "POST /p?q=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n";
+    const std::string second = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+    const bool passed = rc::check([&] {
+        const std::string all = first + second;
+        std::string buffer;
+        RequestReader reader({});
+        ReadProgress progress = ReadProgress::NeedsMore;
+        std::size_t sent = 0;
+        while (sent < all.size() && progress == ReadProgress::NeedsMore) {
+            const auto count = *rc::gen::inRange<std::size_t>(1, 20);
+            buffer += all.substr(sent, count);
+            sent += count;
+            progress = reader.read(buffer);
+        }
+        RC_ASSERT(progress == ReadProgress::Complete);
+        RC_ASSERT(reader.head().method == "POST");
+        RC_ASSERT(reader.head().target == "/p?q=1");
+        RC_ASSERT(reader.takeBody() == "abcdefg");
+        RC_ASSERT(second.starts_with(buffer) || buffer.starts_with(second));
+    });
+    BOOST_TEST(passed);
+}
+
+// Guards against an answer that broke off and is taken for a complete one.
+BOOST_AUTO_TEST_CASE(onlyAnAnswerWithoutLengthMayEndWithItsConnection)
+{
+    const auto endOf = [](const std::string &text) {
+        std::string buffer = text;
+        ResponseReader reader({});
+        BOOST_TEST((reader.read(buffer) == ReadProgress::NeedsMore));
+        return reader.readEnd();
+    };
+    BOOST_TEST((endOf("HTTP/1.1 200 OK\r\n\r\nall of it") == ReadProgress::Complete));
+    BOOST_TEST((endOf("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf") == ReadProgress::Malformed));
+    BOOST_TEST((endOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n") == ReadProgress::Malformed));
+    BOOST_TEST((endOf("HTTP/1.1 200 OK\r\nContent-Le") == ReadProgress::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswersAreSkippedAndExtraBytesStay)
+{
+    std::string buffer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+    ResponseReader reader({});
+    BOOST_TEST((reader.read(buffer) == ReadProgress::Complete));
+    BOOST_TEST(reader.head().status == 200U);
+    BOOST_TEST(reader.takeBody() == "ok");
+    BOOST_TEST(buffer == "HTTP/1.1 200 OK\r\n");
+}
+
+// Guards against headers of one connection that are forwarded to another.
+BOOST_AUTO_TEST_CASE(headersNamedByConnectionAreHopByHop)
+{
+    const std::vector<HeaderField> fields{ { "Connection", "close, X-Private" }, { "X-Private", "1" }, { "X-Public", "2" } };
+    BOOST_TEST(isHopByHop(fields, "x-private"));
+    BOOST_TEST(isHopByHop(fields, "Keep-Alive"));
+    BOOST_TEST(!isHopByHop(fields, "X-Public"));
+}
+
+// Guards against a last answer that is lost because its connection is closed before the peer has read it.
+BOOST_AUTO_TEST_CASE(closeDeliversWhatIsQueued)
+{
+    Pair pair;
+    const std::string large(std::size_t{ 2 } << 20U, 'x');
+    pair.dialled->write(large);
+    pair.dialled->close();
+    BOOST_TEST(iterateUntil([&] { return pair.acceptedEnd.has_value(); }));
+    BOOST_TEST(pair.received.size() == large.size());
+    BOOST_TEST((pair.acceptedEnd == ChannelEnd::PeerFinished));
+}
+
+BOOST_AUTO_TEST_CASE(abortIsSeenAsAReset)
+{
+    Pair pair;
+    pair.dialled->abort();
+    BOOST_TEST(iterateUntil([&] { return pair.acceptedEnd.has_value(); }));
+    BOOST_TEST((pair.acceptedEnd == ChannelEnd::Reset));
+    BOOST_TEST(!pair.dialledEnd.has_value());
+}
+
+// Guards against a refused connection that is taken for one on which a request may have run.
+BOOST_AUTO_TEST_CASE(aRefusedConnectionIsToldApart)
+{
+    std::uint16_t port = 0;
+    {
+        ChannelListener closed([](int) {});
+        BOOST_REQUIRE(!closed.listen("127.0.0.1:0"));
+        port = closed.port();
+    }
+    std::optional<ChannelEnd> end;
+    const auto channel = Channel::connect("127.0.0.1:" + std::to_string(port), { .onEnd = [&](ChannelEnd reason) { end = reason; } });
+    if (channel) {
+        channel->write("GET / HTTP/1.1\r\n\r\n");
+        BOOST_TEST(iterateUntil([&] { return end.has_value(); }));
+        BOOST_TEST((end == ChannelEnd::ConnectFailed));
+    }
+}
