--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -26,7 +26,8 @@
             for (int i = 0; i < 4; ++i) {
                 addEngine(std::string(zone) + std::to_string(i), zone, 1);
             }
-            table.update({ .id = std::string("plain-") + zone, .service = "desk", .address = "10.9.0.1:" + std::to_string(80 + zone[0]), .zone = zone, .slots = 6 }, 0);
+            table.update(
+                { .id = std::string("plain-") + zone, .service = "desk", .address = "10.9.0.1:" + std::to_string(80 + zone[0]), .zone = zone, .slots = 6 }, 0);
         }
         engines.name = "llm";
         engines.engine = EngineTraits{ .slots = 96, .cacheTokens = 83'645, .bytesPerToken = 262'144.0, .linkMbps = 550'000.0 };
@@ -59,11 +60,9 @@
     }
     [[nodiscard]] static PromptDemand shortPrompt()
     {
-        return { .service = "llm",
-                 .parts = { { "s", 119 }, { "t", 79 }, { "own", 628 } },
-                 .outputTokens = 73,
-                 .shortLimit = 15 * Second,
-                 .longLimit = 15 * Second };
+        return {
+            .service = "llm", .parts = { { "s", 119 }, { "t", 79 }, { "own", 628 } }, .outputTokens = 73, .shortLimit = 15 * Second, .longLimit = 15 * Second
+        };
     }
     std::optional<EngineChoice> choose(const PromptDemand &demand, Micros now = Second)
     {
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -33,8 +33,8 @@
 struct Pair {
     Pair()
         : listener([this](int descriptor) {
-            accepted = Channel::adopt(descriptor, { .onData = [this] { received += std::exchange(accepted->input(), {}); },
-                                                    .onEnd = [this](ChannelEnd end) { acceptedEnd = end; } });
+            accepted = Channel::adopt(
+                descriptor, { .onData = [this] { received += std::exchange(accepted->input(), {}); }, .onEnd = [this](ChannelEnd end) { acceptedEnd = end; } });
         })
     {
         BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
