--- a/packages/base/include/carobhall/base.h
+++ b/packages/base/include/carobhall/base.h
@@ -255,6 +255,10 @@
 /// Sets up logging to standard error. \p process goes into each line. Call once, before the first line. Not thread-safe.
 void initLogging(std::string_view process, LogLevel level);
 
+/// The same to standard output, for programs whose logs a platform collects. It never blocks: lines that the reader does not
+/// take, or beyond \p linesPerSecond, are dropped and counted in a later "log_lines_dropped" line.
+void initOutputLogging(std::string_view process, LogLevel level, unsigned linesPerSecond = 400);
+
 /// Writes "level=… process=… event=… key=value …" as one line; values with spaces or quotes are quoted. Thread-safe.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/base.h"
 
+#include <log4cplus/appender.h>
 #include <log4cplus/config.hxx>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -8,7 +9,10 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <charconv>
+#include <fcntl.h>
+#include <sstream>
 #include <type_traits>
+#include <unistd.h>
 
 namespace Carobhall
 {
@@ -44,6 +48,56 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+constexpr const char *LinePattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n";
+
+/// Writes to standard output without ever waiting for its reader.
+class OutputAppender final : public log4cplus::Appender
+{
+public:
+    explicit OutputAppender(unsigned linesPerSecond)
+        : linesPerSecond_(linesPerSecond)
+    {
+        (void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK); // NOLINT: POSIX interface.
+    }
+    ~OutputAppender() override
+    {
+        destructorImpl();
+    }
+    void close() override
+    {
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const Micros now = monotonicNow();
+        if (now - windowStart_ >= MicrosPerSecond) {
+            windowStart_ = now;
+            linesInWindow_ = 0;
+        }
+        if (++linesInWindow_ > linesPerSecond_) {
+            ++dropped_;
+            return;
+        }
+        log4cplus::tostringstream text;
+        if (dropped_ > 0) {
+            text << "level=WARN event=log_lines_dropped count=" << dropped_ << '\n';
+        }
+        layout->formatAndAppend(text, event);
+        const std::string line = text.str();
+        // A pipe takes a line of this size whole or not at all.
+        const bool written = ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+        dropped_ = written ? 0 : dropped_ + 1;
+    }
+
+private:
+    unsigned linesPerSecond_;
+    unsigned linesInWindow_ = 0;
+    Micros windowStart_ = 0;
+    std::uint64_t dropped_ = 0;
+};
+
 bool needsQuotes(std::string_view text)
 {
     return text.empty() || text.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
@@ -113,7 +167,19 @@
     LogState &state = logState();
     state.process = process;
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n"));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
+    state.logger.removeAllAppenders();
+    state.logger.addAppender(appender);
+    state.logger.setAdditivity(false);
+    state.logger.setLogLevel(levelOf(level));
+}
+
+void initOutputLogging(std::string_view process, LogLevel level, unsigned linesPerSecond)
+{
+    LogState &state = logState();
+    state.process = process;
+    log4cplus::SharedAppenderPtr appender(new OutputAppender(linesPerSecond));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
     state.logger.removeAllAppenders();
     state.logger.addAppender(appender);
     state.logger.setAdditivity(false);
