--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -210,7 +210,7 @@
     send(attempt_->upstream, instructions);
 }
 
-void Exchange::send(UpstreamRef upstream, const UpstreamInstructions &given)
+void Exchange::send(const UpstreamRef &upstream, const UpstreamInstructions &given)
 {
     const Micros now = monotonicNow();
     UpstreamInstructions instructions = given;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -55,7 +55,7 @@
     struct Attempt;
 
     void attempt();
-    void send(UpstreamRef upstream, const UpstreamInstructions &instructions);
+    void send(const UpstreamRef &upstream, const UpstreamInstructions &given);
     [[nodiscard]] std::string chooseService() const;
     /// Whether the request may be sent to one more upstream; takes it from the budget.
     bool mayRepeat(Verdict lastVerdict, Micros now);
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -230,7 +230,7 @@
     std::vector<UpstreamRef> avoided{};
     std::vector<UpstreamRef> vanished{};
     for (const auto &[id, upstream] : byId_) {
-        const bool used = std::ranges::any_of(tried, [&](const UpstreamRef &other) { return other == upstream; });
+        const bool used = std::ranges::find(tried, upstream) != tried.end();
         if (upstream->record.service != service || upstream->record.draining || used) {
             continue;
         }
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -116,7 +116,7 @@
         ::close(descriptor);
         return nullptr;
     }
-    const std::shared_ptr<Channel> channel(new Channel(descriptor, State::Connecting, std::move(options)));
+    std::shared_ptr<Channel> channel(new Channel(descriptor, State::Connecting, std::move(options)));
     channel->attach();
     return channel;
 }
@@ -124,7 +124,7 @@
 std::shared_ptr<Channel> Channel::adopt(int descriptor, ChannelOptions options)
 {
     prepare(descriptor, options.unackedTimeout);
-    const std::shared_ptr<Channel> channel(new Channel(descriptor, State::Open, std::move(options)));
+    std::shared_ptr<Channel> channel(new Channel(descriptor, State::Open, std::move(options)));
     channel->attach();
     return channel;
 }
