Weigh old weights at 130 ms during a change

Change: requests go to servers with the new weights unless these are 130 ms busier (60 before), so that the others run empty.

--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -34,7 +34,7 @@
 /// Shorter parts are read as quickly as they are fetched.
 constexpr std::uint64_t LeastSavedTokens = 1'000;
 /// During a change of weights, servers that have the new ones go first: the others are about to close.
-constexpr double OldWeightsPenalty = 60'000.0;
+constexpr double OldWeightsPenalty = 130'000.0;
 /// A stream that is running when weights change loses most of its worth.
 constexpr double ClosingPenalty = 250'000.0;
 /// A model server whose agent has not reported yet may have any weights; it is used only if no other is.
