--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -221,6 +221,8 @@
     Fleet fleet;
     fleet.table.notePrompt(*fleet.engine("a3"), cacheSalt(1, ""), Fleet::longPrompt().parts, Second);
     fleet.report("a3", { .totalTokens = 83'645, .weightsVersion = 2 }, Second);
+    // A cache event from before the change arrives late.
+    fleet.table.noteCached(fleet.ipOf["a3"], cacheSalt(1, ""), "preamble", true, Second);
     const auto choice = fleet.choose(Fleet::longPrompt());
     BOOST_REQUIRE(choice);
     BOOST_TEST(choice->fetchFrom.empty());
@@ -352,11 +354,13 @@
     fleet.table.notePrompt(*fleet.engine("a2"), cacheSalt(1, ""), Fleet::longPrompt().parts, Second);
     fleet.table.update({ .id = "a2", .service = "llm", .address = fleet.ipOf["a2"] + ":80", .zone = "a", .slots = 96, .startedAtMs = 77, .weightsVersion = 1 },
                        Second);
-    for (int i = 0; i < 50; ++i) {
-        const auto choice = fleet.choose(Fleet::longPrompt());
-        BOOST_REQUIRE(choice);
-        BOOST_TEST(choice->upstream->record.id != "a2");
+    // All others have a queue of a quarter of a second, so that an idle server would be the first choice.
+    for (const auto &[id, upstream] : fleet.table.byId()) {
+        upstream->unreadTokens = id == "a2" ? 0 : 10'000;
     }
+    const auto choice = fleet.choose(Fleet::longPrompt());
+    BOOST_REQUIRE(choice);
+    BOOST_TEST(choice->upstream->record.id != "a2");
 }
 
 BOOST_AUTO_TEST_CASE(aClosedServerGetsNothingAndAClosingOneLittle)
