Let late orders take effect in the model of a server

Cause: the seeded test passed without the count of orders, as its server never took an older version. Change: it does now; and the source with other weights is busy, so that it is not chosen itself.

--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -223,6 +223,7 @@
     fleet.report("a3", { .totalTokens = 83'645, .weightsVersion = 2 }, Second);
     // A cache event from before the change arrives late.
     fleet.table.noteCached(fleet.ipOf["a3"], cacheSalt(1, ""), "preamble", true, Second);
+    fleet.engine("a3")->unreadTokens = 50'000;
     const auto choice = fleet.choose(Fleet::longPrompt());
     BOOST_REQUIRE(choice);
     BOOST_TEST(choice->fetchFrom.empty());
--- a/packages/sidecar/tests/rollout_test.cpp
+++ b/packages/sidecar/tests/rollout_test.cpp
@@ -32,7 +32,8 @@
         if (report.busy || sequence != report.sequence) {
             return OrderResult::Conflict;
         }
-        if (report.weightsVersion >= version) {
+        // It takes any other version, also an older one: only the count of orders holds a late order back.
+        if (report.weightsVersion == version) {
             return OrderResult::AlreadyHolds;
         }
         ++report.sequence;
