Name the server's process in orders of weights

Cause: with a server model that takes older versions, the seeded test of the rollout failed: an order from before a restart found the count of orders at zero again and took effect, and weights went back. Change: orders name the process from the platform's list; after an answer that another process has the address the name is dropped until the list is read again, and the count of orders alone holds late orders back. The seeded test passes. A late order can still meet a process that restarted under the name of none; the next report orders anew.

--- a/packages/sidecar/include/carobhall/sidecar.h
+++ b/packages/sidecar/include/carobhall/sidecar.h
@@ -16,11 +16,13 @@
     HttpCall (*reportCall)(const std::string &address) = nullptr;
     std::optional<EngineReport> (*decodeReport)(const HttpReply &reply) = nullptr;
     CacheFeedCodec feed{};
-    /// Orders weights if the server has accepted \p sequence orders. \p token never decreases for one server.
-    HttpCall (*orderCall)(const std::string &address, const std::string &holder, const std::string &model, std::uint64_t version, std::uint64_t sequence,
-                          std::uint64_t token)
-        = nullptr;
+    /// The order of \p step, which counts only if the server has accepted step.sequence orders. \p token never decreases for one
+    /// server.
+    HttpCall (*orderCall)(const std::string &address, const std::string &holder, const std::string &model, const RolloutStep &step,
+                          std::uint64_t token) = nullptr;
     OrderResult (*decodeOrder)(const HttpReply &reply) = nullptr;
+    /// The process that answered; empty when the reply does not name it.
+    std::string (*decodeInstance)(const HttpReply &reply) = nullptr;
 };
 
 struct SidecarOptions {
--- a/packages/sidecar/include/carobhall/weights_rollout.h
+++ b/packages/sidecar/include/carobhall/weights_rollout.h
@@ -30,13 +30,15 @@
     std::string model{};
     std::uint64_t weightsVersion = 0;
     bool busy = false;          ///< An order is being carried out.
-    std::uint64_t sequence = 0; ///< Orders accepted since the server's start.
+    std::uint64_t sequence = 0;   ///< Orders accepted since the server's start.
+    std::string instance{};       ///< Names the running process of the server; empty: not known.
 };
 
 enum class OrderResult : std::uint8_t {
     Accepted,
     AlreadyHolds,
     Conflict, ///< Another order is in progress, or the sequence differs.
+    Misdirected, ///< Another process than the one that was named has the address.
     Rejected, ///< The server does not know the version, or the order is not valid.
     Unknown,  ///< No answer: it may be carried out, now or later.
 };
@@ -46,7 +48,7 @@
     static constexpr std::array rows{
         EnumName{ OrderResult::Accepted, "accepted" }, EnumName{ OrderResult::AlreadyHolds, "already-holds" },
         EnumName{ OrderResult::Conflict, "conflict" }, EnumName{ OrderResult::Rejected, "rejected" },
-        EnumName{ OrderResult::Unknown, "unknown" },
+        EnumName{ OrderResult::Unknown, "unknown" },   EnumName{ OrderResult::Misdirected, "misdirected" },
     };
 };
 
@@ -76,6 +78,7 @@
     bool order = false;   ///< Order `version` now, if the server's sequence is still `sequence`.
     std::uint64_t version = 0;
     std::uint64_t sequence = 0;
+    std::string instance{}; ///< Only this process of the server may take the order.
 };
 
 /// Not thread-safe.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -57,6 +57,7 @@
     std::vector<CacheChange> pending;
     bool pendingReset = false;
     std::string model;
+    std::string knownInstance; ///< Of the server's process, from the platform's list or the server's own answers.
     std::uint64_t requested = 0; ///< Newest version that was named; the rollout learns it with its wave.
     std::uint64_t configVersion = 0;
     std::string configText;
@@ -138,6 +139,7 @@
     }
     feed.tick(now);
     if (reportKnown && !ordering) {
+        report.instance = knownInstance;
         const RolloutStep step = rollout.step(report, now);
         if (step.closed != closed || step.closing != closing) {
             closed = step.closed;
@@ -187,6 +189,7 @@
     }
     reportKnown = true;
     report = *read;
+
     if (!read->model.empty()) {
         model = read->model;
     }
@@ -196,13 +199,18 @@
 {
     ordering = true;
     // The version itself is the fencing token: it never decreases, and the server has no other holder.
-    HttpCall call = options.engine.orderCall(options.settings.engineAddress, options.settings.name, model, step.version, step.sequence, step.version);
+    HttpCall call = options.engine.orderCall(options.settings.engineAddress, options.settings.name, model, step, step.version);
     call.timeout = EngineCallTimeout;
     http.send(std::move(call), [this, version = step.version, sequence = step.sequence](const HttpReply &reply) {
         ordering = false;
         const OrderResult result = options.engine.decodeOrder(reply);
         logEvent(LogLevel::Info, "weights_ordered",
-                 { { "version", version }, { "sequence", sequence }, { "result", result }, { "status", reply.status }, { "running", report.running } });
+                 { { "version", version }, { "sequence", sequence }, { "result", result }, { "status", reply.status }, { "instance", knownInstance }, { "running", report.running } });
+        if (result == OrderResult::Misdirected) {
+            // The server has restarted. If its answer does not name the new process, the next order names none and is held back
+            // by the count of orders alone until the platform's list is read again.
+            knownInstance = options.engine.decodeInstance(reply);
+        }
         rollout.ordered(result, monotonicNow());
         nextReport = 0;
     });
@@ -228,6 +236,9 @@
         for (const PlatformObject &object : reply.items) {
             if (const auto record = options.sites.decodeUpstream(object); record && record->service == options.settings.engineService && !record->draining) {
                 members.push_back({ .id = record->id, .zone = record->zone, .address = record->address });
+                if (record->address == options.settings.engineAddress) {
+                    knownInstance = record->id;
+                }
             }
         }
         std::optional<std::uint32_t> wave = waveOf(members, options.settings.engineAddress);
--- a/packages/sidecar/src/weights_rollout.cpp
+++ b/packages/sidecar/src/weights_rollout.cpp
@@ -52,7 +52,7 @@
 
 RolloutStep WeightsRollout::step(const EngineReport &report, Micros now)
 {
-    RolloutStep result{ .version = target_, .sequence = report.sequence };
+    RolloutStep result{ .version = target_, .sequence = report.sequence, .instance = report.instance };
     if (target_ == 0 || report.weightsVersion >= target_) {
         phase_ = Phase::Current;
         result.closed = report.busy;
@@ -95,6 +95,11 @@
         phase_ = Phase::Loading;
         phaseSince_ = now;
         return;
+    case OrderResult::Misdirected:
+        // The name of the process is known from its answer: the next order can follow at once.
+        phase_ = Phase::Closed;
+        retryAt_ = now;
+        return;
     case OrderResult::Conflict:
     case OrderResult::Rejected:
     case OrderResult::Unknown:
--- a/packages/sidecar/tests/rollout_test.cpp
+++ b/packages/sidecar/tests/rollout_test.cpp
@@ -19,14 +19,18 @@
 
 /// A model server that takes orders, some of them late or without an answer.
 struct ServerModel {
-    EngineReport report{ .weightsVersion = 1 };
+    EngineReport report{ .weightsVersion = 1, .instance = "0" };
+    int starts = 0;
     Micros loadedAt = 0;
     std::uint64_t loading = 0;
     std::uint64_t lastToken = 0;
     bool tokenWentBack = false;
 
-    OrderResult order(std::uint64_t version, std::uint64_t sequence, Micros now)
+    OrderResult order(std::uint64_t version, std::uint64_t sequence, const std::string &instance, Micros now)
     {
+        if (instance != report.instance) {
+            return OrderResult::Misdirected;
+        }
         tokenWentBack = tokenWentBack || version < lastToken;
         lastToken = std::max(lastToken, version);
         if (report.busy || sequence != report.sequence) {
@@ -53,6 +57,7 @@
     {
         report.busy = false;
         report.sequence = 0;
+        report.instance = std::to_string(++starts);
         lastToken = 0;
     }
 };
@@ -131,6 +136,7 @@
             Micros at = 0;
             std::uint64_t version = 0;
             std::uint64_t sequence = 0;
+            std::string instance;
         };
         std::deque<Late> late;
         std::uint64_t named = 1;
@@ -150,7 +156,7 @@
             }
             while (!late.empty() && late.front().at <= now) {
                 // Answers to late orders reach nobody.
-                (void)server.order(late.front().version, late.front().sequence, now);
+                (void)server.order(late.front().version, late.front().sequence, late.front().instance, now);
                 late.pop_front();
             }
             const RolloutStep step = rollout.step(server.report, now);
@@ -161,10 +167,10 @@
             if (fate == 0) {
                 rollout.ordered(OrderResult::Unknown, now);
             } else if (fate == 1) {
-                late.push_back({ .at = now + 2 * MicrosPerSecond, .version = step.version, .sequence = step.sequence });
+                late.push_back({ .at = now + 2 * MicrosPerSecond, .version = step.version, .sequence = step.sequence, .instance = step.instance });
                 rollout.ordered(OrderResult::Unknown, now);
             } else {
-                rollout.ordered(server.order(step.version, step.sequence, now), now);
+                rollout.ordered(server.order(step.version, step.sequence, step.instance, now), now);
             }
         }
         RC_ASSERT(server.report.weightsVersion == named);
