--- a/packages/sidecar/include/carobhall/sidecar.h
+++ b/packages/sidecar/include/carobhall/sidecar.h
@@ -18,8 +18,8 @@
     CacheFeedCodec feed{};
     /// The order of \p step, which counts only if the server has accepted step.sequence orders. \p token never decreases for one
     /// server.
-    HttpCall (*orderCall)(const std::string &address, const std::string &holder, const std::string &model, const RolloutStep &step,
-                          std::uint64_t token) = nullptr;
+    HttpCall (*orderCall)(const std::string &address, const std::string &holder, const std::string &model, const RolloutStep &step, std::uint64_t token)
+        = nullptr;
     OrderResult (*decodeOrder)(const HttpReply &reply) = nullptr;
     /// The process that answered; empty when the reply does not name it.
     std::string (*decodeInstance)(const HttpReply &reply) = nullptr;
--- a/packages/sidecar/include/carobhall/weights_rollout.h
+++ b/packages/sidecar/include/carobhall/weights_rollout.h
@@ -30,17 +30,17 @@
     std::string model{};
     std::uint64_t weightsVersion = 0;
     bool busy = false;          ///< An order is being carried out.
-    std::uint64_t sequence = 0;   ///< Orders accepted since the server's start.
-    std::string instance{};       ///< Names the running process of the server; empty: not known.
+    std::uint64_t sequence = 0; ///< Orders accepted since the server's start.
+    std::string instance{};     ///< Names the running process of the server; empty: not known.
 };
 
 enum class OrderResult : std::uint8_t {
     Accepted,
     AlreadyHolds,
-    Conflict, ///< Another order is in progress, or the sequence differs.
+    Conflict,    ///< Another order is in progress, or the sequence differs.
     Misdirected, ///< Another process than the one that was named has the address.
-    Rejected, ///< The server does not know the version, or the order is not valid.
-    Unknown,  ///< No answer: it may be carried out, now or later.
+    Rejected,    ///< The server does not know the version, or the order is not valid.
+    Unknown,     ///< No answer: it may be carried out, now or later.
 };
 
 template<>
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -57,7 +57,7 @@
     std::vector<CacheChange> pending;
     bool pendingReset = false;
     std::string model;
-    std::string knownInstance; ///< Of the server's process, from the platform's list or the server's own answers.
+    std::string knownInstance;   ///< Of the server's process, from the platform's list or the server's own answers.
     std::uint64_t requested = 0; ///< Newest version that was named; the rollout learns it with its wave.
     std::uint64_t configVersion = 0;
     std::string configText;
@@ -205,7 +205,12 @@
         ordering = false;
         const OrderResult result = options.engine.decodeOrder(reply);
         logEvent(LogLevel::Info, "weights_ordered",
-                 { { "version", version }, { "sequence", sequence }, { "result", result }, { "status", reply.status }, { "instance", knownInstance }, { "running", report.running } });
+                 { { "version", version },
+                   { "sequence", sequence },
+                   { "result", result },
+                   { "status", reply.status },
+                   { "instance", knownInstance },
+                   { "running", report.running } });
         if (result == OrderResult::Misdirected) {
             // The server has restarted. If its answer does not name the new process, the next order names none and is held back
             // by the count of orders alone until the platform's list is read again.
