Roll new weights out in at most six waves, whatever the fleet's size

Change: a wave is a sixth of the servers, two at least. The time after which gateways leave servers with old weights alone comes from the settings (weights_deadline_ms) instead of a constant; the unused setting drain_ms is gone.

Ruled out: restarts or missed names of weights; the orders came in the planned wave, and the waves were late.

Test: sidecar_rollout_test/aLargeFleetIsDoneInAsManyWavesAsASmallOne, seen failing with waves of two.

--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -18,6 +18,7 @@
 #include "carobhall/platform.h"
 #include "carobhall/runtime.h"
 #include "carobhall/site.h"
+#include "carobhall/upstream_table.h"
 
 namespace Carobhall
 {
@@ -41,7 +42,7 @@
     double repeatRatio = 0.1;
     double repeatAllowance = 0.0;
     Micros repeatWindow = 10 * MicrosPerSecond;
-    Micros drainTime = 2500 * MicrosPerMilli; ///< A leaving upstream gets no request later than this.
+    Micros weightsDeadline = UpstreamTable::DefaultWeightsDeadline; ///< No request begins on weights that were replaced this long ago.
 };
 
 // 2. Site codec -----------------------------------------------------------------------------------
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -88,7 +88,7 @@
 Gateway::Impl::Impl(GatewayOptions gatewayOptions)
     : options(std::move(gatewayOptions))
     , random(drawIncarnation())
-    , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random())
+    , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline)
     , pool({})
     , repeats({ .ratio = options.settings.repeatRatio, .allowance = options.settings.repeatAllowance, .window = options.settings.repeatWindow })
     , context({ .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .metrics = &metrics, .codec = &options.codec, .random = &random })
--- a/packages/sidecar/include/carobhall/weights_rollout.h
+++ b/packages/sidecar/include/carobhall/weights_rollout.h
@@ -4,7 +4,7 @@
 //
 // Each server is ordered by the sidecar beside it alone, so that no two holders ever order one server and no lease is needed.
 // All sidecars of a service spread their orders over waves, which they compute from the same list, because loading slows
-// when more than two servers load at once. Before its order a server is closed for a moment, so that the gateways send
+// when many servers load at once and a server that loads serves nothing. Before its order a server is closed for a moment, so that the gateways send
 // elsewhere what the load would reject.
 //
 //     WeightsRollout rollout;
@@ -63,8 +63,13 @@
 /// once. Nothing when the list does not contain it. Thread-safe.
 [[nodiscard]] std::optional<std::uint32_t> waveOf(std::vector<RolloutMember> members, std::string_view address);
 
+/// Waves of one rollout at most, so that its length does not grow with the fleet: a sixth of the servers load at a time, and
+/// the last ones begin after 2.3 s.
+inline constexpr std::size_t MaxWaves = 6;
+/// Servers that load at a time in a small fleet; loading slows there when more do.
+inline constexpr std::size_t LeastServersPerWave = 2;
+
 struct RolloutOptions {
-    std::uint32_t serversPerWave = 2;           ///< Loading slows when more servers load at once.
     Micros waveInterval = 450 * MicrosPerMilli; ///< A load takes 0.38 s; the rest covers the delay of its report.
     Micros closeTime = 900 * MicrosPerMilli;    ///< Longest wait for running requests to end; most streams take less.
     Micros closedTime = 130 * MicrosPerMilli;   ///< From closing to the order: until all gateways know, and what is on its way has begun.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -249,8 +249,7 @@
         std::optional<std::uint32_t> wave = waveOf(members, options.settings.engineAddress);
         if (!wave) {
             // Without a list the waves cannot be computed; a wave drawn from the address spreads the orders too.
-            constexpr std::size_t AssumedWaves = 6;
-            wave = static_cast<std::uint32_t>(std::hash<std::string>{}(options.settings.engineAddress) % AssumedWaves);
+            wave = static_cast<std::uint32_t>(std::hash<std::string>{}(options.settings.engineAddress) % MaxWaves);
         }
         logEvent(LogLevel::Info, "weights_wave", { { "version", version }, { "wave", *wave }, { "members", members.size() }, { "error", reply.error } });
         rollout.setTarget(version, *wave, at);
--- a/packages/sidecar/src/weights_rollout.cpp
+++ b/packages/sidecar/src/weights_rollout.cpp
@@ -13,14 +13,15 @@
     for (const RolloutMember &member : members) {
         zones[member.zone].push_back(&member);
     }
-    std::uint32_t position = 0;
+    const std::size_t serversPerWave = std::max(LeastServersPerWave, (members.size() + MaxWaves - 1) / MaxWaves);
+    std::size_t position = 0;
     for (std::size_t round = 0; round < members.size(); ++round) {
         for (const auto &[zone, list] : zones) {
             if (round >= list.size()) {
                 continue;
             }
             if (list[round]->address == address) {
-                return position / RolloutOptions{}.serversPerWave;
+                return static_cast<std::uint32_t>(position / serversPerWave);
             }
             ++position;
         }
--- a/packages/sidecar/tests/rollout_test.cpp
+++ b/packages/sidecar/tests/rollout_test.cpp
@@ -88,6 +88,28 @@
     BOOST_TEST(!waveOf(members, "elsewhere:1"));
 }
 
+// Guards against a rollout that outlasts its deadline in a large fleet: with two servers a wave, 41 servers took 9.4 s of the
+// 10 s that the platform allows, and requests began on weights that had been replaced.
+BOOST_AUTO_TEST_CASE(aLargeFleetIsDoneInAsManyWavesAsASmallOne)
+{
+    for (const std::size_t count : { 41U, 120U, 1300U }) {
+        std::vector<RolloutMember> members;
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string id = "s" + std::to_string(i);
+            members.push_back({ .id = id, .zone = "z" + std::to_string(i % 6), .address = id + ":1" });
+        }
+        std::map<std::uint32_t, std::size_t> waves;
+        for (const RolloutMember &member : members) {
+            ++waves[waveOf(members, member.address).value_or(UINT32_MAX)];
+        }
+        BOOST_TEST(waves.size() <= MaxWaves);
+        for (const auto &[wave, size] : waves) {
+            BOOST_TEST(wave < MaxWaves);
+            BOOST_TEST(size <= (count + MaxWaves - 1) / MaxWaves);
+        }
+    }
+}
+
 // Guards against a load that rejects requests: gateways hear of it before the order, and running streams get time to end.
 BOOST_AUTO_TEST_CASE(theServerClosesBeforeItsOrder)
 {
