Log the last shared prompt part of each request

The line of a request said how many tokens were missing but not of which part, so reads of one part could not be followed over gateways.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -557,6 +557,7 @@
                { "verdict", verdict_ },
                { "upstream", attempt_ ? attempt_->upstream->record.id : std::string("-") },
                { "sent", sent_ },
+               { "part", request_.parts.size() > 1 ? request_.parts[request_.parts.size() - 2].id : std::string("-") },
                { "missing_tokens", attempt_ ? attempt_->choice.missingTokens : 0 },
                { "reread_tokens", attempt_ ? attempt_->choice.rereadTokens : 0 },
                { "fetch", attempt_ ? attempt_->choice.fetchFrom : std::string() },
