Refuse requests that crash each upstream that runs them

Cause: nothing stopped a request that crashes its server.

Change: a broken connection is remembered with the request's fingerprint (path, caller, body). When the platform's list shows that the process has ended unplanned, the request becomes suspected; after two such processes, with no completion in between, it is refused as not run for two minutes. Gateways tell each other through three sidecars. The facts are those of packages/load (SuspectFact moved to the messages); alone runs are not used on the platform.

Ruled out: counting resets alone, as faulty servers reset connections and stay up.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -15,6 +15,7 @@
 constexpr Micros RetryAfterLoading = 400 * MicrosPerMilli;
 constexpr Micros RetryAfterFull = 600 * MicrosPerMilli;
 constexpr Micros RetryAfterRejected = 150 * MicrosPerMilli;
+constexpr Micros RetryAfterCrashes = 5 * MicrosPerSecond; ///< A caller's copy that is innocent is let through minutes later at best.
 
 /// A repeatable call that has not been answered in this share of its target is sent elsewhere, while the target can be met.
 constexpr double SilenceShareOfTarget = 0.6;
@@ -94,6 +95,10 @@
         refuse(503, "stopping", RetryAfterRejected);
         return;
     }
+    if (CrashWatch &crashes = *options_.context->crashes; !crashes.isEmpty() && crashes.isRefused(fingerprint(), now)) {
+        refuse(503, "crashes_upstreams", RetryAfterCrashes);
+        return;
+    }
     service_ = options_.routes->service(chooseService());
     if (service_ == nullptr) {
         refuse(503, "unknown_service", RetryAfterStart);
@@ -110,6 +115,11 @@
     attempt();
 }
 
+std::uint64_t Exchange::fingerprint() const
+{
+    return requestFingerprint(options_.head.target, request_.key, options_.body);
+}
+
 std::string Exchange::chooseService() const
 {
     double total = 0.0;
@@ -362,6 +372,8 @@
         return;
     }
     if (end == CallEnd::Broken) {
+        const UpstreamRecord &record = attempt_->upstream->record;
+        options_.context->crashes->noteBroken(upstreamProcess(record.id, record.startedAtMs), fingerprint(), monotonicNow());
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "broken_response");
         return;
     }
@@ -547,6 +559,9 @@
     deadlineTimer_.stop();
     silenceTimer_.stop();
     const Micros now = monotonicNow();
+    if (CrashWatch &crashes = *options_.context->crashes; verdict_ == Verdict::Ran && !crashes.isEmpty()) {
+        crashes.noteServed(fingerprint(), now);
+    }
     const std::string route = route_ != nullptr ? route_->name : std::string("-");
     logEvent(LogLevel::Info, "request_done",
              { { "id", request_.id },
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -5,6 +5,7 @@
 #include "caller_connection.h"
 #include "upstream_pool.h"
 
+#include "carobhall/crash_watch.h"
 #include "carobhall/event_stream.h"
 #include "carobhall/repeat_budget.h"
 
@@ -16,10 +17,10 @@
     UpstreamTable *upstreams = nullptr;
     UpstreamPool *pool = nullptr;
     RepeatBudget *repeats = nullptr;
+    CrashWatch *crashes = nullptr;
     Metrics *metrics = nullptr;
     const ExchangeCodec *codec = nullptr;
     std::mt19937_64 *random = nullptr;
-    std::uint32_t gateways = 8; ///< Processes that share the upstreams' connections.
 };
 
 class Exchange;
@@ -75,6 +76,7 @@
     void done(unsigned status, std::string_view outcome);
     /// How long its first token may take before the request is refused instead.
     [[nodiscard]] Micros longestWait() const;
+    [[nodiscard]] std::uint64_t fingerprint() const;
     [[nodiscard]] Micros retryDelay(Micros base) const;
     [[nodiscard]] std::vector<HeaderField> answerFields(const ResponseHead &head) const;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -54,6 +54,8 @@
     bool adoptConfig(const Json::Value &spec, std::string_view source);
     void followStore();
     void onUpstream(const PlatformObject &object, Micros now);
+    /// The process that the list has shown under \p id ended unplanned, unless it started at \p startedAtMs (0: the entry is gone).
+    void noteCrash(const std::string &id, std::int64_t startedAtMs, Micros now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool refusesNew(Micros now) const;
     [[nodiscard]] bool refusesStreams(Micros now) const;
@@ -65,6 +67,7 @@
     UpstreamTable upstreams;
     UpstreamPool pool;
     RepeatBudget repeats;
+    CrashWatch crashes;
     ExchangeContext context;
     std::shared_ptr<const RouteTable> routes;
     ChannelListener listener;
@@ -91,7 +94,7 @@
     , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline)
     , pool({})
     , repeats({ .ratio = options.settings.repeatRatio, .allowance = options.settings.repeatAllowance, .window = options.settings.repeatWindow })
-    , context({ .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .metrics = &metrics, .codec = &options.codec, .random = &random })
+    , context({ .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .crashes = &crashes, .metrics = &metrics, .codec = &options.codec, .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
     , http({})
@@ -131,6 +134,7 @@
                                                                       .onDeleted =
                                                                           [this](const std::string &name, Micros now) {
                                                                               logEvent(LogLevel::Info, "upstream_gone", { { "upstream", name } });
+                                                                              noteCrash(name, 0, now);
                                                                               upstreams.remove(name, now);
                                                                           } });
     links = std::make_unique<SidecarLinks>(SidecarLinksOptions{
@@ -149,11 +153,8 @@
                     adoptConfig(*spec, "peer");
                 }
             },
-        .onGateways =
-            [this](std::uint32_t gateways) {
-                context.gateways = std::max<std::uint32_t>(1, gateways);
-                repeats.setGateways(context.gateways);
-            },
+        .onGateways = [this](std::uint32_t gateways) { repeats.setGateways(gateways); },
+        .onSuspects = [this](const std::vector<SuspectFact> &facts) { crashes.merge(facts, monotonicNow()); },
     });
     ticker.startRepeating(TickInterval, [this] { tick(); });
     tick();
@@ -171,6 +172,11 @@
     if (storeFeed) {
         storeFeed->tick(now);
     }
+    if (std::vector<SuspectFact> facts = crashes.takeNews(now); !facts.empty()) {
+        logEvent(LogLevel::Info, "requests_suspected", { { "count", facts.size() }, { "first", facts.front().fingerprint } });
+        links->spread(std::move(facts));
+    }
+    crashes.expire(now);
     pool.expire(now);
     // A copy, because a timeout removes its connection.
     const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
@@ -352,9 +358,22 @@
                { "draining", record->draining },
                { "weights", record->weightsVersion },
                { "revision", object.version } });
+    noteCrash(record->id, record->startedAtMs, now);
     upstreams.update(std::move(*record), now);
 }
 
+void Gateway::Impl::noteCrash(const std::string &id, std::int64_t startedAtMs, Micros now)
+{
+    const auto found = upstreams.byId().find(id);
+    if (found == upstreams.byId().end()) {
+        return;
+    }
+    const UpstreamRecord &known = found->second->record;
+    if (!known.draining && known.startedAtMs != startedAtMs) {
+        crashes.noteCrashed(upstreamProcess(id, known.startedAtMs), now);
+    }
+}
+
 void Gateway::Impl::onReadiness(SoupServer * /*server*/, SoupServerMessage *message, const char *path, GHashTable * /*query*/, gpointer self)
 {
     const auto &impl = *static_cast<Impl *>(self);
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+void SidecarLinks::spread(std::vector<SuspectFact> facts)
+{
+    std::size_t relays = 0;
+    const SuspectNews news{ .facts = std::move(facts) };
+    for (const auto &[ip, link] : links_) {
+        if (link.open && relays < Relays) {
+            endpoint_.send(link.connection, news);
+            ++relays;
+        }
+    }
+}
+
 KnownVersions SidecarLinks::known() const
 {
     return { .configuration = options_.configurationVersion(), .model = model_, .weights = weights_ };
@@ -138,6 +150,8 @@
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         endpoint_.send(connection, ConfigData{ .version = options_.configurationVersion(), .digest = {}, .text = options_.configurationText() });
+    } else if (const auto *const suspects = std::get_if<SuspectNews>(&message)) {
+        options_.onSuspects(suspects->facts);
     } else if (auto *const data = std::get_if<ConfigData>(&message)) {
         options_.onConfiguration(std::move(data->text));
     }
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -20,6 +20,7 @@
     std::function<std::string()> configurationText{};
     std::function<void(std::string text)> onConfiguration{}; ///< A peer has sent a configuration.
     std::function<void(std::uint32_t gateways)> onGateways{};
+    std::function<void(const std::vector<SuspectFact> &facts)> onSuspects{}; ///< Other gateways report requests that crash upstreams.
 };
 
 /// Not thread-safe.
@@ -32,12 +33,16 @@
     void tick(const RouteTable *routes, Micros now);
     /// Tells all sidecars of a new configuration.
     void announce();
+    /// Has the facts passed on to all gateways.
+    void spread(std::vector<SuspectFact> facts);
     [[nodiscard]] std::size_t openCount() const;
 
 private:
     /// A sidecar reports at least every second; a link that is silent for this long is replaced.
     static constexpr Micros SilenceLimit = 2500 * MicrosPerMilli;
     static constexpr std::uint64_t LeastDemandChange = 1'000; ///< Tokens; an engine reads them in 24 ms.
+    /// Sidecars that pass facts on; the same ones for all gateways, and more than one in case one is gone.
+    static constexpr std::size_t Relays = 3;
     static constexpr Micros RedialDelay = 300 * MicrosPerMilli;
 
     struct Link {
--- a/packages/load/include/carobhall/suspects.h
+++ b/packages/load/include/carobhall/suspects.h
@@ -37,20 +37,6 @@
 
 // 1. Facts ----------------------------------------------------------------------------------------
 
-/// What is known of one fingerprint. Two facts of one episode merge field by field; a later episode replaces an earlier one.
-struct SuspectFact {
-    std::uint64_t fingerprint = 0;
-    std::uint32_t episode = 1;   ///< Counts up when an exonerated request is in flight at another crash.
-    Incarnation firstEngine = 0; ///< Engines that crashed with the request in flight, at most two, in ascending order.
-    Incarnation secondEngine = 0;
-    bool aloneStarted = false; ///< The one alone run has been given out.
-    bool aloneCrashed = false;
-    bool exonerated = false;
-    Micros age = 0; ///< Since the fact last changed; clocks of different processes cannot be compared.
-
-    MSGPACK_DEFINE(fingerprint, episode, firstEngine, secondEngine, aloneStarted, aloneCrashed, exonerated, age)
-};
-
 /// What the fact means for the next run. Thread-safe.
 [[nodiscard]] Suspicion suspicionOf(const SuspectFact &fact);
 
@@ -84,6 +70,9 @@
     /// Takes the permit for the one alone run. False: refuse the attempt as not run.
     bool beginAlone(std::uint64_t fingerprint, Micros now);
 
+    /// The request has completed somewhere. Unknown fingerprints are ignored, and so are condemned ones.
+    void exonerate(std::uint64_t fingerprint, Micros now);
+
     /// The alone run ended and the engine is still there. Only a completed run exonerates. Unknown fingerprints are ignored.
     void endAlone(std::uint64_t fingerprint, bool completed, Micros now);
 
@@ -95,6 +84,9 @@
     /// Facts that changed since the last call.
     [[nodiscard]] std::vector<SuspectFact> takeChanged(Micros now);
 
+    /// All facts that have not expired, for a process that has just connected.
+    [[nodiscard]] std::vector<SuspectFact> facts(Micros now) const;
+
     /// Removes expired facts. Call every few seconds.
     void expire(Micros now);
 
--- a/packages/load/src/suspects.cpp
+++ b/packages/load/src/suspects.cpp
@@ -135,6 +135,15 @@
     return true;
 }
 
+void Suspects::exonerate(std::uint64_t fingerprint, Micros now)
+{
+    Row *row = findRow(fingerprint, now);
+    if (row != nullptr && suspicionOf(row->fact) == Suspicion::Suspected) {
+        row->fact.exonerated = true;
+        touch(*row, now);
+    }
+}
+
 void Suspects::endAlone(std::uint64_t fingerprint, bool completed, Micros now)
 {
     Row *row = findRow(fingerprint, now);
@@ -190,6 +199,18 @@
     return facts;
 }
 
+std::vector<SuspectFact> Suspects::facts(Micros now) const
+{
+    std::vector<SuspectFact> facts;
+    for (const auto &[fingerprint, row] : rows_) {
+        if (expiryOf(row) > now) {
+            facts.push_back(row.fact);
+            facts.back().age = std::max<Micros>(0, now - row.changedAt);
+        }
+    }
+    return facts;
+}
+
 void Suspects::expire(Micros now)
 {
     std::erase_if(rows_, [this, now](const auto &row) { return expiryOf(row.second) <= now; });
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "carobhall/sidecar.h"
 
+#include "carobhall/suspects.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -61,6 +63,7 @@
     std::uint64_t requested = 0; ///< Newest version that was named; the rollout learns it with its wave.
     std::uint64_t configVersion = 0;
     std::string configText;
+    Suspects suspects; ///< Requests that crash upstreams, passed on between gateways.
     Timer ticker;
     Timer stopTimer;
 };
@@ -293,6 +296,19 @@
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         endpoint.send(connection, ConfigData{ .version = configVersion, .digest = {}, .text = configText });
+    } else if (const auto *const news = std::get_if<SuspectNews>(&message)) {
+        const Micros now = monotonicNow();
+        for (const SuspectFact &fact : news->facts) {
+            suspects.merge(fact, now);
+        }
+        suspects.expire(now);
+        if (const SuspectNews changed{ .facts = suspects.takeChanged(now) }; !changed.facts.empty()) {
+            for (const auto &[gateway, unread] : gateways) {
+                if (gateway != connection) {
+                    endpoint.send(gateway, changed);
+                }
+            }
+        }
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
         if (const auto spec = parseJson(data->text)) {
             adoptConfig(*spec, "peer");
@@ -355,6 +371,9 @@
     }
     endpoint.send(connection, first);
     endpoint.send(connection, known());
+    if (const SuspectNews suspected{ .facts = suspects.facts(monotonicNow()) }; !suspected.facts.empty()) {
+        endpoint.send(connection, suspected);
+    }
 }
 
 Sidecar::Sidecar(SidecarOptions options)
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -12,7 +12,8 @@
 //   4. Account limits   GrantAsk, Grant
 //   5. State dump       DumpAsk, Dump
 //   6. Engines          EngineNews, KnownVersions, EngineDemand
-//   7. Codec            encode(), decode()
+//   7. Suspects         SuspectFact, SuspectNews
+//   8. Codec            encode(), decode()
 
 #include "carobhall/base.h"
 
@@ -319,11 +320,34 @@
     MSGPACK_DEFINE(configuration, model, weights)
 };
 
-// 7. Codec ----------------------------------------------------------------------------------------
+// 7. Suspects -------------------------------------------------------------------------------------
+
+/// What is known of one fingerprint. Two facts of one episode merge field by field; a later episode replaces an earlier one.
+struct SuspectFact {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t episode = 1;   ///< Counts up when an exonerated request is in flight at another crash.
+    Incarnation firstEngine = 0; ///< Engines that crashed with the request in flight, at most two, in ascending order.
+    Incarnation secondEngine = 0;
+    bool aloneStarted = false; ///< The one alone run has been given out.
+    bool aloneCrashed = false;
+    bool exonerated = false;
+    Micros age = 0; ///< Since the fact last changed; clocks of different processes cannot be compared.
+
+    MSGPACK_DEFINE(fingerprint, episode, firstEngine, secondEngine, aloneStarted, aloneCrashed, exonerated, age)
+};
+
+/// Facts that are new to the sender. Sidecars pass them on to the gateways.
+struct SuspectNews {
+    std::vector<SuspectFact> facts;
+
+    MSGPACK_DEFINE(facts)
+};
+
+// 8. Codec ----------------------------------------------------------------------------------------
 
 /// All messages. The position in the list is the type number on the wire, so new messages go to the end.
 using Message = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantAsk, Grant,
-                             DumpAsk, Dump, EngineNews, KnownVersions, EngineDemand>;
+                             DumpAsk, Dump, EngineNews, KnownVersions, EngineDemand, SuspectNews>;
 
 /// The bytes of \p message. Thread-safe.
 [[nodiscard]] std::string encode(const Message &message);
