Answer HEAD requests without waiting for a body

Cause: the reader of responses took the Content-Length of a response to HEAD as the length of a body and waited for it until the route's timeout; the caller got 504.

Change: the reader knows that the request was HEAD; the caller gets the upstream's length without a body.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -142,7 +142,7 @@
 
     UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline = DefaultWeightsDeadline);
 
-    void update(UpstreamRecord record, Micros now);
+    void update(UpstreamRecord record);
     /// The newest weights that have been named. Servers that stay on older ones for too long are not used.
     void noteWeightsTarget(std::uint64_t version, Micros now);
     /// The record left the platform's list.
@@ -184,10 +184,10 @@
     [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
     [[nodiscard]] bool sameRegion(std::string_view zone, std::string_view other) const;
     [[nodiscard]] double distancePenalty(std::string_view zone) const;
-    /// The upstream of this region that reads \p part first when none has it; the same in all processes of the region.
     /// Model servers that are kept free of long prompts: one in five of each zone, at a different place in each zone's list, so
     /// that they do not change weights at the same time. The same in all processes with the same list.
     [[nodiscard]] std::vector<const Upstream *> shortLane(std::string_view service) const;
+    /// The upstream of this region that reads \p part first when none has it; the same in all processes of the region.
     [[nodiscard]] std::string homeOf(const PromptPart &part, std::span<const UpstreamRef> among) const;
     struct Fetch;
     [[nodiscard]] Fetch bestFetch(const Upstream &target, std::span<const PartKey> keys, std::span<const std::uint32_t> tokens, std::size_t held,
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -98,43 +98,47 @@
     respond(status, {}, {});
 }
 
-void CallerConnection::respond(unsigned status, const std::vector<HeaderField> &fields, std::string_view body)
+std::string CallerConnection::responseHead(unsigned status, const std::vector<HeaderField> &fields, std::string_view framing, std::string_view value)
 {
-    if (closed_) {
-        return;
-    }
     std::string out = "HTTP/1.1 " + std::to_string(status);
     out.append(" ").append(reasonOf(status)).append("\r\n");
     for (const HeaderField &field : fields) {
         appendField(out, field.name, field.value);
     }
-    appendField(out, "Content-Length", std::to_string(body.size()));
+    if (!framing.empty()) {
+        appendField(out, framing, value);
+    }
     keep_ = keep_ && !closing_;
     if (!keep_) {
         appendField(out, "Connection", "close");
     }
-    out.append("\r\n").append(body);
-    channel_->write(out);
-    finishResponse();
+    return out.append("\r\n");
 }
 
-void CallerConnection::startStream(unsigned status, const std::vector<HeaderField> &fields)
+void CallerConnection::respond(unsigned status, const std::vector<HeaderField> &fields, std::string_view body)
 {
     if (closed_) {
         return;
     }
-    std::string out = "HTTP/1.1 " + std::to_string(status);
-    out.append(" ").append(reasonOf(status)).append("\r\n");
-    for (const HeaderField &field : fields) {
-        appendField(out, field.name, field.value);
+    channel_->write(responseHead(status, fields, "Content-Length", std::to_string(body.size())).append(body));
+    finishResponse();
+}
+
+void CallerConnection::respondHead(unsigned status, const std::vector<HeaderField> &fields, std::optional<std::string_view> length)
+{
+    if (closed_) {
+        return;
     }
-    appendField(out, "Transfer-Encoding", "chunked");
-    keep_ = keep_ && !closing_;
-    if (!keep_) {
-        appendField(out, "Connection", "close");
+    channel_->write(responseHead(status, fields, length ? "Content-Length" : "", length.value_or("")));
+    finishResponse();
+}
+
+void CallerConnection::startStream(unsigned status, const std::vector<HeaderField> &fields)
+{
+    if (closed_) {
+        return;
     }
-    out.append("\r\n");
-    channel_->write(out);
+    channel_->write(responseHead(status, fields, "Transfer-Encoding", "chunked"));
 }
 
 void CallerConnection::sendStream(std::string_view data)
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -36,6 +36,8 @@
     void open(Micros now);
     /// A whole response.
     void respond(unsigned status, const std::vector<HeaderField> &fields, std::string_view body);
+    /// Answers a HEAD request; \p length is what the upstream says of the body that it leaves out.
+    void respondHead(unsigned status, const std::vector<HeaderField> &fields, std::optional<std::string_view> length);
     /// The head of a response whose length is not known yet.
     void startStream(unsigned status, const std::vector<HeaderField> &fields);
     void sendStream(std::string_view data);
@@ -53,6 +55,8 @@
     [[nodiscard]] bool isClosed() const;
 
 private:
+    /// The head of a response, with the header that frames its body (\p framing; empty: none).
+    [[nodiscard]] std::string responseHead(unsigned status, const std::vector<HeaderField> &fields, std::string_view framing, std::string_view value);
     void readRequests();
     void reject(unsigned status, std::string_view reason);
     void finishResponse();
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -243,7 +243,7 @@
                                                                        .upstream = upstream,
                                                                        .requestId = request_.id,
                                                                        .bytes = std::move(bytes),
-                                                                       .preferNewConnection = false,
+                                                                       .headOnly = options_.head.method == "HEAD",
                                                                        .onHead = [this] { onHead(); },
                                                                        .onBody = [this] { onBody(); },
                                                                        .onEnd = [this](CallEnd end) { onEnd(end); } });
@@ -485,7 +485,12 @@
 void Exchange::deliver()
 {
     const unsigned status = attempt_->call->head().status;
-    options_.caller->respond(status, answerFields(attempt_->call->head()), body_);
+    const ResponseHead &head = attempt_->call->head();
+    if (options_.head.method == "HEAD") {
+        options_.caller->respondHead(status, answerFields(head), findField(head.fields, "Content-Length"));
+    } else {
+        options_.caller->respond(status, answerFields(head), body_);
+    }
     endAttempt(AttemptResult::Served);
     done(status, isSuccess(status) ? "served" : "upstream_error");
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -94,7 +94,8 @@
     , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline)
     , pool({})
     , repeats({ .ratio = options.settings.repeatRatio, .allowance = options.settings.repeatAllowance, .window = options.settings.repeatWindow })
-    , context({ .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .crashes = &crashes, .metrics = &metrics, .codec = &options.codec, .random = &random })
+    , context(
+          { .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .crashes = &crashes, .metrics = &metrics, .codec = &options.codec, .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
     , http({})
@@ -359,7 +360,7 @@
                { "weights", record->weightsVersion },
                { "revision", object.version } });
     noteCrash(record->id, record->startedAtMs, now);
-    upstreams.update(std::move(*record), now);
+    upstreams.update(std::move(*record));
 }
 
 void Gateway::Impl::noteCrash(const std::string &id, std::int64_t startedAtMs, Micros now)
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -81,7 +81,7 @@
 
 UpstreamCall::UpstreamCall(UpstreamCallOptions options)
     : options_(std::move(options))
-    , reader_(ResponseLimits)
+    , reader_(ResponseLimits, options_.headOnly)
 {
 }
 
@@ -92,10 +92,8 @@
 
 bool UpstreamCall::start(Micros now)
 {
-    if (!options_.preferNewConnection) {
-        channel_ = options_.pool->takeIdle(*options_.upstream, now);
-        usedIdle_ = channel_ != nullptr;
-    }
+    channel_ = options_.pool->takeIdle(*options_.upstream, now);
+    usedIdle_ = channel_ != nullptr;
     const auto onData = [this] { this->onData(); };
     const auto onEnd = [this](ChannelEnd reason) { onChannelEnd(reason); };
     if (channel_) {
@@ -188,7 +186,7 @@
             return;
         }
         skipping_ = false;
-        reader_ = ResponseReader(ResponseLimits);
+        reader_ = ResponseReader(ResponseLimits, options_.headOnly);
     }
 }
 
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -69,7 +69,7 @@
     UpstreamRef upstream{};
     std::string requestId{};
     std::string bytes{};                  ///< The whole request.
-    bool preferNewConnection = false;     ///< An idle connection may break as the request is sent, and leave it in doubt.
+    bool headOnly = false;                ///< The response has no body.
     std::function<void()> onHead{};       ///< Once.
     std::function<void()> onBody{};       ///< takeBody() has more.
     std::function<void(CallEnd)> onEnd{}; ///< Once, unless cancelled.
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -78,7 +78,7 @@
 {
 }
 
-void UpstreamTable::update(UpstreamRecord record, Micros now)
+void UpstreamTable::update(UpstreamRecord record)
 {
     UpstreamRef &entry = byId_[record.id];
     const bool restarted = entry && entry->record.startedAtMs != record.startedAtMs;
@@ -94,7 +94,6 @@
     entry->record = std::move(record);
     entry->present = true;
     entry->vanishedAt = 0;
-    (void)now;
 }
 
 void UpstreamTable::noteWeightsTarget(std::uint64_t version, Micros now)
--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -27,7 +27,7 @@
                 addEngine(std::string(zone) + std::to_string(i), zone, 1);
             }
             table.update(
-                { .id = std::string("plain-") + zone, .service = "desk", .address = "10.9.0.1:" + std::to_string(80 + zone[0]), .zone = zone, .slots = 6 }, 0);
+                { .id = std::string("plain-") + zone, .service = "desk", .address = "10.9.0.1:" + std::to_string(80 + zone[0]), .zone = zone, .slots = 6 });
         }
         engines.name = "llm";
         engines.engine = EngineTraits{ .slots = 96, .cacheTokens = 83'645, .bytesPerToken = 262'144.0, .linkMbps = 550'000.0 };
@@ -37,7 +37,7 @@
     void addEngine(const std::string &id, const std::string &zone, std::uint64_t weights)
     {
         const std::string ip = "10.1." + std::to_string(zone[0] - 'a') + "." + id.substr(1);
-        table.update({ .id = id, .service = "llm", .address = ip + ":80", .zone = zone, .slots = 96, .weightsVersion = weights }, 0);
+        table.update({ .id = id, .service = "llm", .address = ip + ":80", .zone = zone, .slots = 96, .weightsVersion = weights });
         ipOf[id] = ip;
         report(id, { .totalTokens = 83'645, .weightsVersion = weights }, 1);
     }
@@ -353,8 +353,7 @@
 {
     Fleet fleet;
     fleet.table.notePrompt(*fleet.engine("a2"), cacheSalt(1, ""), Fleet::longPrompt().parts, Second);
-    fleet.table.update({ .id = "a2", .service = "llm", .address = fleet.ipOf["a2"] + ":80", .zone = "a", .slots = 96, .startedAtMs = 77, .weightsVersion = 1 },
-                       Second);
+    fleet.table.update({ .id = "a2", .service = "llm", .address = fleet.ipOf["a2"] + ":80", .zone = "a", .slots = 96, .startedAtMs = 77, .weightsVersion = 1 });
     // All others have a queue of a quarter of a second, so that an idle server would be the first choice.
     for (const auto &[id, upstream] : fleet.table.byId()) {
         upstream->unreadTokens = id == "a2" ? 0 : 10'000;
@@ -380,7 +379,7 @@
 BOOST_AUTO_TEST_CASE(drainingAndVanishedServersAreNotChosen)
 {
     Fleet fleet;
-    fleet.table.update({ .id = "plain-a", .service = "desk", .address = "10.9.0.1:177", .zone = "a", .draining = true, .slots = 6 }, Second);
+    fleet.table.update({ .id = "plain-a", .service = "desk", .address = "10.9.0.1:177", .zone = "a", .draining = true, .slots = 6 });
     fleet.table.remove("plain-b", Second);
     BOOST_TEST(fleet.table.choosePlain(fleet.desk, {}, Second)->record.id == "plain-c");
     fleet.table.remove("plain-c", Second);
--- a/packages/http/include/carobhall/http_message.h
+++ b/packages/http/include/carobhall/http_message.h
@@ -103,7 +103,8 @@
 class ResponseReader
 {
 public:
-    explicit ResponseReader(const ReaderLimits &limits);
+    /// \p headOnly: the response to a HEAD request, which has no body whatever its length says.
+    explicit ResponseReader(const ReaderLimits &limits, bool headOnly = false);
     ~ResponseReader();
     ResponseReader(ResponseReader &&) noexcept;
     ResponseReader &operator=(ResponseReader &&) noexcept;
--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -255,10 +255,16 @@
 }
 
 struct ResponseReader::Impl {
-    explicit Impl(const ReaderLimits &readerLimits)
+    Impl(const ReaderLimits &readerLimits, bool isHeadOnly)
         : limits(readerLimits)
-        , collector(std::in_place, readerLimits)
+        , headOnly(isHeadOnly)
     {
+        restart();
+    }
+    void restart()
+    {
+        collector.emplace(limits);
+        collector->skip(headOnly);
     }
     [[nodiscard]] bool isInterim() const
     {
@@ -266,12 +272,13 @@
     }
 
     ReaderLimits limits;
+    bool headOnly = false;
     std::optional<Collector<false>> collector;
     bool started = false;
 };
 
-ResponseReader::ResponseReader(const ReaderLimits &limits)
-    : impl_(std::make_unique<Impl>(limits))
+ResponseReader::ResponseReader(const ReaderLimits &limits, bool headOnly)
+    : impl_(std::make_unique<Impl>(limits, headOnly))
 {
 }
 
@@ -284,7 +291,7 @@
     for (;;) {
         const ReadProgress progress = feed(*impl_->collector, buffer, impl_->started);
         if (progress == ReadProgress::Complete && impl_->isInterim()) {
-            impl_->collector.emplace(impl_->limits);
+            impl_->restart();
             continue;
         }
         if (impl_->collector->is_header_done()) {
