Leave a server's old process when another answers at its address

Cause: a server that crashes is back in a second under a new id, while the platform's list shows the old id for three missed reports. The old entry looked idle, so gateways preferred it, and each request got 421 there.

Change: an answer of another process, or a newer record at the same address, retires the old entry. An answer of the right process with other weights corrects what is known of its weights. The line of a request says what its choice went by and how old that was.

--- a/packages/gateway/include/carobhall/exchange_codec.h
+++ b/packages/gateway/include/carobhall/exchange_codec.h
@@ -42,6 +42,7 @@
     bool authentic = false;            ///< It carries the server's authentication code.
     bool rejected = false;             ///< The upstream states that it has not run the request.
     bool misdirected = false;          ///< Another process than the one that was meant has the address.
+    std::string instance{};            ///< The process that answered; empty: not said.
     bool encoded = false;              ///< The body has a content coding, so it is not what the caller asked for.
     std::optional<Micros> keepAlive{}; ///< How long the connection may stay unused.
     std::optional<std::uint64_t> weightsVersion{};
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -45,6 +45,7 @@
     UpstreamRecord record{};
     bool present = true;   ///< In the platform's list.
     Micros vanishedAt = 0; ///< When it left the list.
+    bool replaced = false; ///< Another process has its address: it ended, though the list still shows it.
 
     EngineLoad load{};
     Micros loadAt = 0; ///< 0: the agent has never reported.
@@ -90,6 +91,8 @@
     std::uint64_t readTokens = 0;    ///< Tokens that it is expected to read, after the transfer.
     Micros queue = 0;                ///< Estimated time until the engine begins to read the request's prompt.
     Micros expected = 0;             ///< Estimated time to the first token.
+    EngineLoad load{};               ///< What the decision went by.
+    Micros loadAge = 0;              ///< Since the agent reported it.
 };
 
 enum class RefusalReason : std::uint8_t {
@@ -145,6 +148,10 @@
     void update(UpstreamRecord record);
     /// The newest weights that have been named. Servers that stay on older ones for too long are not used.
     void noteWeightsTarget(std::uint64_t version, Micros now);
+    /// Another process answered at the address of \p upstream, or it said that its weights are other ones (\p weightsVersion; 0: it
+    /// did not say which).
+    void noteReplaced(Upstream &upstream);
+    void noteOtherWeights(Upstream &upstream, std::uint64_t weightsVersion, Micros now);
     /// The record left the platform's list.
     void remove(std::string_view id, Micros now);
     /// The agent at \p ip reported. Returns false when no engine is known there.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -377,6 +377,20 @@
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "broken_response");
         return;
     }
+    if (response.misdirected) {
+        Upstream &upstream = *attempt_->upstream;
+        if (!response.instance.empty() && response.instance != upstream.record.id) {
+            options_.context->upstreams->noteReplaced(upstream);
+        } else if (attempt_->choice.upstream) {
+            options_.context->upstreams->noteOtherWeights(upstream, response.weightsVersion.value_or(0), monotonicNow());
+        }
+        logEvent(LogLevel::Info, "upstream_misdirected",
+                 { { "id", request_.id },
+                   { "upstream", upstream.record.id },
+                   { "answered_by", response.instance },
+                   { "weights_expected", attempt_->choice.weightsVersion },
+                   { "weights", response.weightsVersion.value_or(0) } });
+    }
     if (response.rejected || response.misdirected) {
         onAttemptFailed(Verdict::NotRun, AttemptResult::Rejected, response.misdirected ? "misdirected" : "rejected");
         return;
@@ -584,6 +598,10 @@
                { "weights", attempt_ ? attempt_->choice.weightsVersion : 0 },
                { "queue_ms", attempt_ ? attempt_->choice.queue / MicrosPerMilli : 0 },
                { "mean_queue_ms", options_.context->upstreams->patience().meanQueue() / MicrosPerMilli },
+               { "upstream_queued", attempt_ ? attempt_->choice.load.queued : 0 },
+               { "upstream_running", attempt_ ? attempt_->choice.load.running : 0 },
+               { "upstream_used_tokens", attempt_ ? attempt_->choice.load.usedTokens : 0 },
+               { "load_age_ms", attempt_ ? attempt_->choice.loadAge / MicrosPerMilli : 0 },
                { "expected_ms", attempt_ ? attempt_->choice.expected / MicrosPerMilli : 0 },
                { "first_ms", firstEventAt_ > 0 ? (firstEventAt_ - arrivedAt_) / MicrosPerMilli : -1 },
                { "total_ms", (now - arrivedAt_) / MicrosPerMilli },
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -94,6 +94,31 @@
     entry->record = std::move(record);
     entry->present = true;
     entry->vanishedAt = 0;
+    for (const auto &[id, other] : byId_) {
+        if (other == entry || other->record.address != entry->record.address) {
+            continue;
+        }
+        if (other->record.startedAtMs < entry->record.startedAtMs) {
+            other->replaced = true;
+        } else if (other->present && other->record.startedAtMs > entry->record.startedAtMs) {
+            entry->replaced = true;
+        }
+    }
+}
+
+void UpstreamTable::noteReplaced(Upstream &upstream)
+{
+    upstream.replaced = true;
+}
+
+void UpstreamTable::noteOtherWeights(Upstream &upstream, std::uint64_t weightsVersion, Micros now)
+{
+    if (weightsVersion == 0 || weightsVersion == upstream.weightsVersion()) {
+        upstream.avoidUntil = std::max(upstream.avoidUntil, now + AvoidBase);
+        return;
+    }
+    directory_.removeHolder(upstream.number);
+    upstream.load.weightsVersion = weightsVersion;
 }
 
 void UpstreamTable::noteWeightsTarget(std::uint64_t version, Micros now)
@@ -230,7 +255,7 @@
     std::vector<UpstreamRef> vanished{};
     for (const auto &[id, upstream] : byId_) {
         const bool used = std::ranges::find(tried, upstream) != tried.end();
-        if (upstream->record.service != service || upstream->record.draining || used) {
+        if (upstream->record.service != service || upstream->record.draining || upstream->replaced || used) {
             continue;
         }
         if (!upstream->present) {
@@ -435,7 +460,9 @@
                      .rereadTokens = static_cast<std::uint64_t>(reread),
                      .readTokens = reads,
                      .queue = static_cast<Micros>(backlog / ReadTokensPerMicro),
-                     .expected = static_cast<Micros>(wait + excess / ReadTokensPerMicro) };
+                     .expected = static_cast<Micros>(wait + excess / ReadTokensPerMicro),
+                     .load = upstream->load,
+                     .loadAge = now - upstream->loadAt };
         }
     }
     if (!best.upstream) {
@@ -512,7 +539,7 @@
 {
     return static_cast<std::size_t>(std::ranges::count_if(byId_, [&](const auto &entry) {
         const Upstream &upstream = *entry.second;
-        return upstream.present && !upstream.record.draining && (service.empty() || upstream.record.service == service);
+        return upstream.present && !upstream.replaced && !upstream.record.draining && (service.empty() || upstream.record.service == service);
     }));
 }
 
