Tell gateways of one another's demand at once

The share of others was also wrong for a moment after each report, because a gateway subtracted its newest demand from an older sum.

Change: a gateway tells the sidecar when it sends a long prompt; the sidecar passes that on within 20 ms, and gives each gateway the sum of the others only. A new connection starts with no demand told.

Ruled out: memory in use, fetches and queue lengths of the server; the error was the same with and without them.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -35,7 +35,7 @@
     std::uint64_t usedTokens = 0;  ///< Memory that cannot be freed.
     std::uint64_t totalTokens = 0; ///< 0: not known.
     std::uint64_t weightsVersion = 0;
-    std::uint64_t unreadTokens = 0; ///< Prompt tokens that all gateways wait for, as far as the agent knows.
+    std::uint64_t unreadTokens = 0; ///< Prompt tokens that the other gateways wait for, as far as the agent knows.
     bool closing = false;           ///< It closes soon: what runs there then is disturbed.
     bool closed = false;            ///< It is about to load or is loading weights and takes no new requests.
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -234,6 +234,7 @@
     const std::uint64_t memory = current.readCounted ? request_.promptTokens + request_.outputTokens : 0;
     options_.context->upstreams->began(*upstream, current.choice.readTokens, memory);
     if (current.readCounted) {
+        options_.context->onDemand(*upstream);
         options_.context->upstreams->noteReading(*upstream, current.choice.salt, request_.parts, now);
     }
     events_ = {};
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -20,6 +20,7 @@
     CrashWatch *crashes = nullptr;
     Metrics *metrics = nullptr;
     const ExchangeCodec *codec = nullptr;
+    std::function<void(Upstream &)> onDemand{}; ///< A model server has a prompt more to read.
     std::mt19937_64 *random = nullptr;
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -94,8 +94,14 @@
     , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline)
     , pool({})
     , repeats({ .ratio = options.settings.repeatRatio, .allowance = options.settings.repeatAllowance, .window = options.settings.repeatWindow })
-    , context(
-          { .upstreams = &upstreams, .pool = &pool, .repeats = &repeats, .crashes = &crashes, .metrics = &metrics, .codec = &options.codec, .random = &random })
+    , context({ .upstreams = &upstreams,
+                .pool = &pool,
+                .repeats = &repeats,
+                .crashes = &crashes,
+                .metrics = &metrics,
+                .codec = &options.codec,
+                .onDemand = [this](Upstream &engine) { links->tellDemand(engine); },
+                .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
     , http({})
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -17,6 +17,10 @@
                               Link &link = links_[found->second];
                               link.open = true;
                               link.lastNewsAt = monotonicNow();
+                              // The sidecar counts no demand of a new connection.
+                              if (const UpstreamRef engine = options_.upstreams->engineAt(found->second)) {
+                                  engine->reportedUnread = 0;
+                              }
                               logEvent(LogLevel::Info, "sidecar_connected", { { "ip", found->second }, { "peer", peer.name } });
                               endpoint_.send(connection, known());
                           }
@@ -56,7 +60,9 @@
             link.open = false;
         }
         if (link.open) {
-            tellDemand(ip, link);
+            if (const UpstreamRef engine = options_.upstreams->engineAt(ip)) {
+                tellDemand(*engine);
+            }
         }
         if (link.connection == 0 && now >= link.dialAfter) {
             link.dialAfter = now + RedialDelay;
@@ -66,18 +72,19 @@
     }
 }
 
-void SidecarLinks::tellDemand(const std::string &ip, const Link &link)
+void SidecarLinks::tellDemand(Upstream &engine)
 {
-    const UpstreamRef engine = options_.upstreams->engineAt(ip);
-    if (!engine) {
+    const std::string_view address = engine.record.address;
+    const auto link = links_.find(address.substr(0, address.rfind(':')));
+    if (link == links_.end() || !link->second.open) {
         return;
     }
-    const std::uint64_t current = engine->unreadTokens;
-    const std::uint64_t told = engine->reportedUnread;
+    const std::uint64_t current = engine.unreadTokens;
+    const std::uint64_t told = engine.reportedUnread;
     const std::uint64_t difference = current > told ? current - told : told - current;
     if (difference >= LeastDemandChange || (current == 0 && told != 0)) {
-        engine->reportedUnread = current;
-        endpoint_.send(link.connection, EngineDemand{ .unreadTokens = current });
+        engine.reportedUnread = current;
+        endpoint_.send(link->second.connection, EngineDemand{ .unreadTokens = current });
     }
 }
 
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -31,6 +31,8 @@
 
     /// Opens and closes connections to match the table's model servers. Call it every 100 ms.
     void tick(const RouteTable *routes, Micros now);
+    /// Tells the sidecar at once what this gateway waits for at \p engine, so that the other gateways do not all choose it.
+    void tellDemand(Upstream &engine);
     /// Tells all sidecars of a new configuration.
     void announce();
     /// Has the facts passed on to all gateways.
@@ -52,7 +54,6 @@
         Micros dialAfter = 0;
     };
 
-    void tellDemand(const std::string &ip, const Link &link);
     [[nodiscard]] KnownVersions known() const;
     void onMessage(ConnectionId connection, Message message);
     void onClosed(ConnectionId connection, std::error_code error);
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -433,8 +433,7 @@
             reread += elsewhere ? tokens[i] : 0;
         }
         const std::uint64_t reads = unread + (demand.parts.empty() ? 0 : demand.parts.back().tokens);
-        const double others = static_cast<double>(upstream->load.unreadTokens - std::min(upstream->load.unreadTokens, upstream->reportedUnread));
-        const double backlog = static_cast<double>(upstream->unreadTokens) + others;
+        const double backlog = static_cast<double>(upstream->unreadTokens + upstream->load.unreadTokens);
         const double wait = (backlog + static_cast<double>(reads)) / ReadTokensPerMicro + fetch.micros + upstream->load.running * RunningPenalty;
         const bool inLane = std::ranges::find(lane, upstream.get()) != lane.end();
         const double lanePenalty = lane.empty() || inLane == isShort ? 0.0 : isShort ? ShortInLongLanePenalty : LongInShortLanePenalty;
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -15,7 +15,11 @@
 constexpr Micros TickInterval = 50 * MicrosPerMilli;
 constexpr Micros ReportInterval = 150 * MicrosPerMilli; ///< A report is free on the server's own machine, but costs processor time.
 constexpr Micros NewsInterval = 120 * MicrosPerMilli;   ///< When the load has changed; it is that old at a gateway at most.
-constexpr Micros IdleNewsInterval = MicrosPerSecond;    ///< Also tells gateways that the connection is alive.
+/// When prompts are waiting that gateways do not know of yet. Gateways decide by the same news, and would all choose the server
+/// that was idle last.
+constexpr Micros DemandNewsInterval = 20 * MicrosPerMilli;
+constexpr std::uint64_t LeastDemandNews = 2'000;     ///< Tokens; an engine reads them in 50 ms.
+constexpr Micros IdleNewsInterval = MicrosPerSecond; ///< Also tells gateways that the connection is alive.
 constexpr Micros EngineCallTimeout = 800 * MicrosPerMilli;
 constexpr std::size_t MaxChangesPerMessage = 500; ///< About 20 KB.
 
@@ -55,6 +59,7 @@
     Micros nextReport = 0;
     Micros lastNews = 0;
     EngineNews lastSent;
+    std::uint64_t lastUnread = 0; ///< Tokens that all gateways waited for when lastSent was sent.
     CacheFeed feed;
     std::vector<CacheChange> pending;
     bool pendingReset = false;
@@ -293,6 +298,7 @@
     } else if (const auto *const demand = std::get_if<EngineDemand>(&message)) {
         if (const auto found = gateways.find(connection); found != gateways.end()) {
             found->second = demand->unreadTokens;
+            sendNews(false);
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         endpoint.send(connection, ConfigData{ .version = configVersion, .digest = {}, .text = configText });
@@ -318,10 +324,6 @@
 
 EngineNews Sidecar::Impl::news() const
 {
-    std::uint64_t unread = 0;
-    for (const auto &[gateway, tokens] : gateways) {
-        unread += tokens;
-    }
     return { .queued = report.queued,
              .running = report.running,
              .usedTokens = report.usedTokens,
@@ -331,28 +333,33 @@
              .closing = closing,
              .changes = {},
              .gateways = static_cast<std::uint32_t>(gateways.size()),
-             .unreadTokens = unread };
+             .unreadTokens = 0 };
 }
 
 void Sidecar::Impl::sendNews(bool force)
 {
     const Micros now = monotonicNow();
     EngineNews next = news();
+    std::uint64_t unread = 0;
+    for (const auto &[gateway, tokens] : gateways) {
+        unread += tokens;
+    }
     const bool changed = !pending.empty() || pendingReset || next.queued != lastSent.queued || next.running != lastSent.running
-        || next.usedTokens != lastSent.usedTokens || next.unreadTokens != lastSent.unreadTokens || next.closed != lastSent.closed
-        || next.weightsVersion != lastSent.weightsVersion;
-    const Micros interval = changed ? NewsInterval : IdleNewsInterval;
+        || next.usedTokens != lastSent.usedTokens || unread != lastUnread || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
+    const Micros interval = unread >= lastUnread + LeastDemandNews ? DemandNewsInterval : changed ? NewsInterval : IdleNewsInterval;
     const bool urgent = force || next.closed != lastSent.closed || next.weightsVersion != lastSent.weightsVersion;
     if (gateways.empty() || (!urgent && now - lastNews < interval)) {
         return;
     }
     lastNews = now;
     lastSent = next;
+    lastUnread = unread;
     next.cacheReset = std::exchange(pendingReset, false);
     const std::size_t count = std::min(pending.size(), MaxChangesPerMessage);
     next.changes.assign(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
     pending.erase(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
-    for (const auto &[gateway, unread] : gateways) {
+    for (const auto &[gateway, tokens] : gateways) {
+        next.unreadTokens = unread - tokens;
         endpoint.send(gateway, next);
     }
 }
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -299,7 +299,7 @@
     bool cacheReset = false;          ///< Everything known of its cache before this message is void.
     std::vector<CacheChange> changes; ///< In order.
     std::uint32_t gateways = 0;       ///< Gateways that are connected.
-    std::uint64_t unreadTokens = 0;   ///< Sum of what the gateways report with EngineDemand.
+    std::uint64_t unreadTokens = 0;   ///< Sum of what all gateways but the receiver report with EngineDemand.
 
     MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways, unreadTokens, closing)
 };
