Take a configuration from one peer at a time, the nearest

Cause: whoever was behind asked every peer that offered a newer configuration, and all 41 sidecars read each configuration from the store besides. With 1,885 routes (some 600 KB) that filled the link between regions (60 Mbit/s) for tens of seconds.

Change: ConfigPulls asks one peer at a time, the nearest, after 350 ms in which the platform may deliver it (none where the platform does not answer). Sidecars no longer watch the configuration: they take it from a gateway and pass it on.

Ruled out: the decoding of 1,885 routes (a gateway uses 0.038 cores); the platform's watches (the near region had each version in 0.2 s).

--- a/packages/gateway/include/carobhall/crash_watch.h
+++ b/packages/gateway/include/carobhall/crash_watch.h
@@ -62,7 +62,7 @@
     };
 
     Suspects suspects_;
-    std::vector<SuspectFact> news_; ///< Facts of this process that have not been taken yet.
+    std::vector<SuspectFact> news_;                               ///< Facts of this process that have not been taken yet.
     std::unordered_map<Incarnation, std::vector<Broken>> broken_; ///< By the process that may have been running the request.
 };
 
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -136,6 +136,9 @@
 
 enum class Distance : std::uint8_t { SameZone, SameRegion, OtherRegion };
 
+/// Thread-safe.
+[[nodiscard]] Distance distanceBetween(const Locality &here, std::string_view zone);
+
 /// Not thread-safe.
 class UpstreamTable
 {
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -154,6 +154,7 @@
         .upstreams = &upstreams,
         .configurationVersion = [this] { return routes ? routes->config().version : 0; },
         .configurationText = [this] { return routes ? routes->config().text : std::string(); },
+        .platformAvailable = [this] { return options.platform->available(); },
         .onConfiguration =
             [this](const std::string &text) {
                 if (const auto spec = parseJson(text)) {
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -16,6 +16,7 @@
                           if (const auto found = ipOf_.find(connection); found != ipOf_.end()) {
                               Link &link = links_[found->second];
                               link.open = true;
+                              link.zone = peer.zone;
                               link.lastNewsAt = monotonicNow();
                               // The sidecar counts no demand of a new connection.
                               if (const UpstreamRef engine = options_.upstreams->engineAt(found->second)) {
@@ -32,6 +33,10 @@
 
 void SidecarLinks::tick(const RouteTable *routes, Micros now)
 {
+    const Micros patience = options_.platformAvailable() ? ConfigPatience : 0;
+    if (const auto peer = pulls_.next(options_.configurationVersion(), patience, now)) {
+        endpoint_.send(*peer, ConfigPull{ .have = options_.configurationVersion() });
+    }
     std::set<std::string, std::less<>> wanted;
     for (const auto &[id, upstream] : options_.upstreams->byId()) {
         const Service *const service = routes != nullptr ? routes->service(upstream->record.service) : nullptr;
@@ -45,6 +50,7 @@
             continue;
         }
         ipOf_.erase(it->second.connection);
+        pulls_.forget(it->second.connection);
         if (it->second.connection != 0) {
             endpoint_.close(it->second.connection);
         }
@@ -56,6 +62,7 @@
             logEvent(LogLevel::Warning, "sidecar_silent", { { "ip", ip }, { "silent_ms", (now - link.lastNewsAt) / MicrosPerMilli } });
             const ConnectionId old = std::exchange(link.connection, 0);
             ipOf_.erase(old);
+            pulls_.forget(old);
             endpoint_.close(old);
             link.open = false;
         }
@@ -146,9 +153,7 @@
         }
         options_.onGateways(news->gateways);
     } else if (const auto *const known = std::get_if<KnownVersions>(&message)) {
-        if (known->configuration > options_.configurationVersion()) {
-            endpoint_.send(connection, ConfigPull{ .have = options_.configurationVersion() });
-        }
+        pulls_.offer(connection, known->configuration, options_.upstreams->distanceTo(links_[ip].zone));
         if (known->weights > weights_) {
             model_ = known->model;
             weights_ = known->weights;
@@ -174,6 +179,7 @@
     if (link.open) {
         logEvent(LogLevel::Warning, "sidecar_lost", { { "ip", found->second }, { "error", error } });
     }
+    pulls_.forget(connection);
     link.open = false;
     link.connection = 0;
     link.dialAfter = monotonicNow() + RedialDelay;
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -2,6 +2,7 @@
 
 // A gateway's connections to the sidecars of the model servers that it knows.
 
+#include "carobhall/config_pulls.h"
 #include "carobhall/gateway.h"
 #include "carobhall/upstream_table.h"
 #include "carobhall/wire.h"
@@ -18,6 +19,7 @@
     UpstreamTable *upstreams = nullptr;
     std::function<std::uint64_t()> configurationVersion{};
     std::function<std::string()> configurationText{};
+    std::function<bool()> platformAvailable{};
     std::function<void(std::string text)> onConfiguration{}; ///< A peer has sent a configuration.
     std::function<void(std::uint32_t gateways)> onGateways{};
     std::function<void(const std::vector<SuspectFact> &facts)> onSuspects{}; ///< Other gateways report requests that crash upstreams.
@@ -45,11 +47,14 @@
     static constexpr std::uint64_t LeastDemandChange = 1'000; ///< Tokens; an engine reads them in 24 ms.
     /// Sidecars that pass facts on; the same ones for all gateways, and more than one in case one is gone.
     static constexpr std::size_t Relays = 3;
+    /// How long a configuration that peers have is awaited from the platform, whose watches are answered every 200 ms.
+    static constexpr Micros ConfigPatience = 350 * MicrosPerMilli;
     static constexpr Micros RedialDelay = 300 * MicrosPerMilli;
 
     struct Link {
         ConnectionId connection = 0;
         bool open = false;
+        std::string zone{};
         Micros lastNewsAt = 0;
         Micros dialAfter = 0;
     };
@@ -62,6 +67,7 @@
     Endpoint endpoint_;
     std::map<std::string, Link, std::less<>> links_; ///< By IP address.
     std::map<ConnectionId, std::string> ipOf_;
+    ConfigPulls pulls_;
     std::string model_; ///< The newest weights that any sidecar knows, to tell those that the platform turns away.
     std::uint64_t weights_ = 0;
 };
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -71,6 +71,17 @@
 
 } // namespace
 
+Distance distanceBetween(const Locality &here, std::string_view zone)
+{
+    if (zone == here.zone) {
+        return Distance::SameZone;
+    }
+    const auto own = here.regionOfZone.find(here.zone);
+    const auto other = here.regionOfZone.find(zone);
+    const bool known = own != here.regionOfZone.end() && other != here.regionOfZone.end();
+    return known && own->second == other->second ? Distance::SameRegion : Distance::OtherRegion;
+}
+
 UpstreamTable::UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline)
     : locality_(std::move(locality))
     , random_(seed)
@@ -229,10 +240,7 @@
 
 Distance UpstreamTable::distanceTo(std::string_view zone) const
 {
-    if (zone == locality_.zone) {
-        return Distance::SameZone;
-    }
-    return sameRegion(locality_.zone, zone) ? Distance::SameRegion : Distance::OtherRegion;
+    return distanceBetween(locality_, zone);
 }
 
 double UpstreamTable::distancePenalty(std::string_view zone) const
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/sidecar.h"
 
+#include "carobhall/config_pulls.h"
 #include "carobhall/suspects.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 constexpr Micros DemandNewsInterval = 20 * MicrosPerMilli;
 constexpr std::uint64_t LeastDemandNews = 2'000;     ///< Tokens; an engine reads them in 50 ms.
 constexpr Micros IdleNewsInterval = MicrosPerSecond; ///< Also tells gateways that the connection is alive.
+/// Several gateways offer a configuration within this time, and the nearest is asked.
+constexpr Micros ConfigPatience = 100 * MicrosPerMilli;
 constexpr Micros EngineCallTimeout = 800 * MicrosPerMilli;
 constexpr std::size_t MaxChangesPerMessage = 500; ///< About 20 KB.
 
@@ -36,7 +39,7 @@
     void giveOrder(const RolloutStep &step);
     void onWeights(const std::string &model, std::uint64_t version, std::string_view source);
     void findWave(std::uint64_t version, Micros now);
-    void adoptConfig(const Json::Value &spec, std::string_view source);
+    void adoptConfig(const Json::Value &spec);
     void onMessage(ConnectionId connection, Message message);
     void sendNews(bool force);
     void sendSnapshot(ConnectionId connection);
@@ -47,7 +50,8 @@
     HttpClient http;
     Endpoint endpoint;
     std::map<ConnectionId, std::uint64_t> gateways; ///< With the tokens that each waits for.
-    std::unique_ptr<ObjectWatcher> configWatcher;
+    std::map<ConnectionId, std::string> zoneOf;
+    ConfigPulls pulls;
     std::unique_ptr<ObjectWatcher> weightsWatcher;
     WeightsRollout rollout;
     EngineReport report;
@@ -85,12 +89,15 @@
                  .onOpen =
                      [this](ConnectionId connection, const PeerInfo &peer) {
                          gateways[connection] = 0;
+                         zoneOf[connection] = peer.zone;
                          logEvent(LogLevel::Info, "gateway_connected", { { "peer", peer.name }, { "gateways", gateways.size() } });
                          sendSnapshot(connection);
                      },
                  .onMessage = [this](ConnectionId connection, Message message) { onMessage(connection, std::move(message)); },
                  .onClosed =
                      [this](ConnectionId connection, std::error_code error) {
+                         pulls.forget(connection);
+                         zoneOf.erase(connection);
                          if (gateways.erase(connection) > 0) {
                              logEvent(LogLevel::Info, "gateway_lost", { { "error", error }, { "gateways", gateways.size() } });
                          }
@@ -112,11 +119,6 @@
     if (const std::error_code error = endpoint.listen(options.settings.ip + ":" + std::to_string(options.settings.peerPort))) {
         return error;
     }
-    configWatcher = std::make_unique<ObjectWatcher>(
-        *options.platform,
-        WatcherOptions{ .kind = options.sites.configKind, .name = options.sites.configName, .onObject = [this](const PlatformObject &object, Micros) {
-                           adoptConfig(object.spec, "platform");
-                       } });
     weightsWatcher = std::make_unique<ObjectWatcher>(
         *options.platform, WatcherOptions{ .kind = options.sites.weightsKind, .name = {}, .onObject = [this](const PlatformObject &object, Micros) {
                                               if (const auto named = options.sites.decodeWeights(object)) {
@@ -140,8 +142,10 @@
 {
     const Micros now = monotonicNow();
     options.platform->tick(now);
-    configWatcher->tick(now);
     weightsWatcher->tick(now);
+    if (const auto peer = pulls.next(configVersion, ConfigPatience, now)) {
+        endpoint.send(*peer, ConfigPull{ .have = configVersion });
+    }
     if (!reporting && now >= nextReport) {
         readReport();
     }
@@ -267,7 +271,7 @@
     });
 }
 
-void Sidecar::Impl::adoptConfig(const Json::Value &spec, std::string_view source)
+void Sidecar::Impl::adoptConfig(const Json::Value &spec)
 {
     const std::optional<SiteConfig> config = options.sites.decodeConfig(spec);
     if (!config || config->version <= configVersion) {
@@ -275,7 +279,7 @@
     }
     configVersion = config->version;
     configText = writeJson(spec);
-    logEvent(LogLevel::Info, "configuration_known", { { "version", configVersion }, { "source", source } });
+    logEvent(LogLevel::Info, "configuration_known", { { "version", configVersion }, { "bytes", configText.size() } });
     for (const auto &[gateway, unread] : gateways) {
         endpoint.send(gateway, known());
     }
@@ -289,9 +293,8 @@
 void Sidecar::Impl::onMessage(ConnectionId connection, Message message)
 {
     if (const auto *const peer = std::get_if<KnownVersions>(&message)) {
-        if (peer->configuration > configVersion) {
-            endpoint.send(connection, ConfigPull{ .have = configVersion });
-        }
+        const Locality here{ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone };
+        pulls.offer(connection, peer->configuration, distanceBetween(here, zoneOf[connection]));
         if (peer->weights > rollout.target() && !peer->model.empty()) {
             onWeights(peer->model, peer->weights, "peer");
         }
@@ -317,7 +320,7 @@
         }
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
         if (const auto spec = parseJson(data->text)) {
-            adoptConfig(*spec, "peer");
+            adoptConfig(*spec);
         }
     }
 }
