--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -39,6 +39,16 @@
     return { text.data(), static_cast<std::size_t>(std::max(0, size)) };
 }
 
+/// Whether an upstream of \p service is listed that the request has not been sent to.
+bool hasUntried(const UpstreamTable &upstreams, std::string_view service, std::span<const UpstreamRef> tried)
+{
+    return std::ranges::any_of(upstreams.byId(), [&](const auto &entry) {
+        const UpstreamRef &upstream = entry.second;
+        const bool usable = upstream->present && !upstream->replaced && !upstream->record.draining;
+        return usable && upstream->record.service == service && std::ranges::find(tried, upstream) == tried.end();
+    });
+}
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -408,7 +418,7 @@
     if (head.status >= 500 && route_->kind == RequestKind::Idempotent) {
         const Micros now = monotonicNow();
         tried_.push_back(attempt_->upstream);
-        if (options_.context->upstreams->readyCount(service_->name) > 1 && mayRepeat(Verdict::Ran, now)) {
+        if (hasUntried(*options_.context->upstreams, service_->name, tried_) && mayRepeat(Verdict::Ran, now)) {
             logEvent(LogLevel::Info, "attempt_repeated",
                      { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "reason", "server_error" }, { "status", head.status } });
             // A server's own error says little of its health: some kinds of request fail by themselves.
@@ -454,11 +464,11 @@
     if (!sent) {
         // Nothing arrived there, so that no attempt was used; the list only keeps the upstream from being chosen again.
         const std::size_t unreachable = tried_.size();
-        if (unreachable < 4 && deadline_ - now > 2 * ReturnMargin && options_.context->upstreams->readyCount(service_->name) > 1) {
+        if (unreachable < 4 && deadline_ - now > 2 * ReturnMargin && hasUntried(*options_.context->upstreams, service_->name, tried_)) {
             attempt();
             return;
         }
-    } else if (options_.context->upstreams->readyCount(service_->name) > 1 && mayRepeat(verdict, now)) {
+    } else if (hasUntried(*options_.context->upstreams, service_->name, tried_) && mayRepeat(verdict, now)) {
         attempt();
         return;
     }
--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -401,3 +401,32 @@
     BOOST_TEST(near->avoidUntil > Second);
     BOOST_TEST(near->avoidUntil <= 5 * Second);
 }
+
+// Guards against the record of a process that has ended: it looks idle, and the list shows it for seconds after the crash.
+BOOST_AUTO_TEST_CASE(aNewerRecordAtTheSameAddressReplacesTheOlderOne)
+{
+    Fleet fleet;
+    const std::string address = fleet.ipOf["a0"] + ":80";
+    fleet.table.update({ .id = "a0-again", .service = "llm", .address = address, .zone = "a", .slots = 96, .startedAtMs = 5, .weightsVersion = 1 });
+    BOOST_TEST(fleet.engine("a0")->replaced);
+    BOOST_TEST(!fleet.engine("a0-again")->replaced);
+    // The older record arrives once more, from a list that lags behind.
+    fleet.addEngine("a0", "a", 1);
+    BOOST_TEST(fleet.engine("a0")->replaced);
+    const std::size_t ready = fleet.table.readyCount("llm");
+    fleet.table.noteReplaced(*fleet.engine("b0"));
+    BOOST_TEST(fleet.table.readyCount("llm") == ready - 1);
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatNamesOtherWeightsIsKnownToHaveThem)
+{
+    Fleet fleet;
+    const UpstreamRef engine = fleet.engine("a0");
+    fleet.table.notePrompt(*engine, "1", Fleet::longPrompt().parts, Second);
+    fleet.table.noteOtherWeights(*engine, 2, Second);
+    BOOST_TEST(engine->weightsVersion() == 2U);
+    BOOST_TEST(fleet.table.directory().size() == 0U);
+    // Without a version it is left alone until its sidecar reports.
+    fleet.table.noteOtherWeights(*fleet.engine("a1"), 0, Second);
+    BOOST_TEST(fleet.engine("a1")->avoidUntil > Second);
+}
