--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -15,7 +15,7 @@
 constexpr Micros RetryAfterLoading = 400 * MicrosPerMilli;
 constexpr Micros RetryAfterFull = 600 * MicrosPerMilli;
 constexpr Micros RetryAfterRejected = 150 * MicrosPerMilli;
-constexpr Micros RetryAfterCrashes = 5 * MicrosPerSecond; ///< A caller's copy that is innocent is let through minutes later at best.
+constexpr Micros RetryAfterCrashes = 5 * MicrosPerSecond; ///< The refusal lasts for minutes, so that an earlier return is in vain.
 
 /// A repeatable call that has not been answered in this share of its target is sent elsewhere, while the target can be met.
 constexpr double SilenceShareOfTarget = 0.6;
