Log configurations of peers that cannot be decoded

Cause: a sidecar dropped an unreadable configuration of a gateway, and both programs dropped one that is not JSON, without a line. Found in the read-through. Log lines only; what is adopted and what is not stays the same.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -159,6 +159,8 @@
             [this](const std::string &text) {
                 if (const auto spec = parseJson(text)) {
                     adoptConfig(*spec, "peer");
+                } else {
+                    logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "bytes", text.size() } });
                 }
             },
         .onGateways = [this](std::uint32_t gateways) { repeats.setGateways(gateways); },
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -274,7 +274,11 @@
 void Sidecar::Impl::adoptConfig(const Json::Value &spec)
 {
     const std::optional<SiteConfig> config = options.sites.decodeConfig(spec);
-    if (!config || config->version <= configVersion) {
+    if (!config) {
+        logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" } });
+        return;
+    }
+    if (config->version <= configVersion) {
         return;
     }
     configVersion = config->version;
@@ -321,6 +325,8 @@
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
         if (const auto spec = parseJson(data->text)) {
             adoptConfig(*spec);
+        } else {
+            logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "version", data->version }, { "bytes", data->text.size() } });
         }
     }
 }
