--- a/packages/state/src/watcher.cpp
+++ b/packages/state/src/watcher.cpp
@@ -86,6 +86,8 @@
 {
     if (reply.error || reply.listVersion < version) {
         // A list older than what was seen comes from a stale copy.
+        logEvent(LogLevel::Info, "list_failed",
+                 { { "kind", options.kind }, { "version", reply.listVersion }, { "before", version }, { "error", reply.error } });
         retry(now);
         return;
     }
@@ -104,6 +106,8 @@
         }
         it = versions.erase(it);
     }
+    logEvent(LogLevel::Info, "objects_listed",
+             { { "kind", options.kind }, { "count", reply.items.size() }, { "version", reply.listVersion }, { "before", version } });
     version = reply.listVersion;
     mustList = false;
     relistAt = now + jittered(options.relistEvery);
