Write each response in one place, and abandon a silent attempt only for a connected one

The silent attempt was cancelled before another upstream was known to be usable, so streams that would have gone on were cut; closing the caller's connection also logged the outcome as caller_left.

Change: ResponseWriter holds the state of the response and turns any error after the start of a stream into a truncated response; CallerConnection sends only what it yields. Exchange plans the next attempt and connects first (standby), takes the retry budget when the connection is established, and only then cancels the silent attempt; progress of the silent attempt drops the standby. The inactivity limit follows the route's target for pauses (two times, 1.2 s or more). Comments are no progress. A rejected attempt that is followed by the deadline is answered 503 and not 504: it has not run.

Tests: response_writer_test (20,000 seeded orders of operations, no network); platform_stream_test (three kinds of other server x five endings x four states of the response, a slow stream beside an unreachable server, a resumed stream, a stream of comments). On the code before, platform_stream_test fails 9 checks.

Ruled out: asking in each branch whether the stream has started, which leaves the next new branch unprotected.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -45,12 +45,12 @@
 void CallerConnection::readRequests()
 {
     const std::shared_ptr<CallerConnection> self = shared_from_this();
-    // Guards against recursion: a handler that responds immediately calls this function through finishResponse(). The loop below
+    // Guards against recursion: a handler that responds immediately calls this function through apply(). The loop below
     // then continues with the next request.
     if (std::exchange(reading_, true)) {
         return;
     }
-    while (!busy_ && !closed_ && channel_->isOpen() && !channel_->input().empty()) {
+    while (writer_.canBeginRequest() && !closed_ && channel_->isOpen() && !channel_->input().empty()) {
         if (!reader_.hasStarted()) {
             waitingSince_ = monotonicNow();
         }
@@ -80,9 +80,8 @@
         if (progress != ReadProgress::Complete) {
             break;
         }
-        busy_ = true;
         RequestHead head = reader_.head();
-        keepAlive_ = head.persistent;
+        writer_.beginRequest(head.persistent);
         std::string body = reader_.takeBody();
         reader_ = RequestReader(readerLimits(options_.limits));
         continueChecked_ = false;
@@ -93,106 +92,73 @@
 
 void CallerConnection::reject(unsigned status, std::string_view reason)
 {
-    keepAlive_ = false;
-    busy_ = true;
+    writer_.beginRequest(false);
     options_.onRejected(*this, reason);
     respond(status, {}, {});
 }
 
-std::string CallerConnection::responseHead(unsigned status, const std::vector<HeaderField> &fields, std::string_view framing, std::string_view value)
+void CallerConnection::apply(const ResponseOutput &output)
 {
-    std::string out = "HTTP/1.1 " + std::to_string(status);
-    out.append(" ").append(reasonPhrase(status)).append("\r\n");
-    for (const HeaderField &field : fields) {
-        appendField(out, field.name, field.value);
-    }
-    if (!framing.empty()) {
-        appendField(out, framing, value);
+    if (closed_) {
+        return;
     }
-    keepAlive_ = keepAlive_ && !closing_;
-    if (!keepAlive_) {
-        appendField(out, "Connection", "close");
+    channel_->write(output.bytes);
+    switch (output.end) {
+    case ResponseEnd::None:
+        return;
+    case ResponseEnd::KeepAlive:
+        waitingSince_ = monotonicNow();
+        lastBytesAt_ = waitingSince_;
+        readRequests();
+        return;
+    case ResponseEnd::Close:
+    case ResponseEnd::Truncated:
+        // An orderly close also shows that a response is incomplete, and delivers the data that was written before; a reset would
+        // discard it.
+        channel_->close();
+        close();
+        return;
     }
-    return out.append("\r\n");
 }
 
 void CallerConnection::respond(unsigned status, const std::vector<HeaderField> &fields, std::string_view body)
 {
-    if (closed_) {
-        return;
-    }
-    channel_->write(responseHead(status, fields, "Content-Length", std::to_string(body.size())).append(body));
-    finishResponse();
+    apply(writer_.respond(status, fields, body));
 }
 
 void CallerConnection::respondHead(unsigned status, const std::vector<HeaderField> &fields, std::optional<std::string_view> length)
 {
-    if (closed_) {
-        return;
-    }
-    channel_->write(responseHead(status, fields, length ? "Content-Length" : "", length.value_or("")));
-    finishResponse();
+    apply(writer_.respondHead(status, fields, length));
 }
 
 void CallerConnection::startStream(unsigned status, const std::vector<HeaderField> &fields)
 {
-    if (closed_) {
-        return;
-    }
-    channel_->write(responseHead(status, fields, "Transfer-Encoding", "chunked"));
+    apply(writer_.startStream(status, fields));
 }
 
 void CallerConnection::sendStream(std::string_view data)
 {
-    if (closed_ || data.empty()) {
-        return;
-    }
-    std::string out;
-    appendChunk(out, data);
-    channel_->write(out);
+    apply(writer_.sendStream(data));
 }
 
 void CallerConnection::finishStream()
 {
-    if (closed_) {
-        return;
-    }
-    channel_->write(LastChunk);
-    finishResponse();
-}
-
-void CallerConnection::finishResponse()
-{
-    busy_ = false;
-    waitingSince_ = monotonicNow();
-    lastBytesAt_ = waitingSince_;
-    if (!keepAlive_) {
-        channel_->close();
-        close();
-        return;
-    }
-    readRequests();
+    apply(writer_.finishStream());
 }
 
 void CallerConnection::abortResponse()
 {
-    if (closed_) {
-        return;
-    }
-    // An orderly close without the last chunk marks the response as incomplete, and delivers the data that was written before;
-    // a reset would discard it.
-    channel_->close();
-    close();
+    apply(writer_.truncate());
 }
 
 void CallerConnection::beginShutdown()
 {
-    closing_ = true;
+    writer_.closeAfterResponse();
 }
 
 void CallerConnection::closeIfIdle()
 {
-    if (!busy_ && !reader_.hasStarted() && !closed_) {
+    if (!isBusy() && !closed_) {
         channel_->close();
         close();
     }
@@ -200,7 +166,7 @@
 
 void CallerConnection::checkTimeouts(Micros now)
 {
-    if (busy_ || closed_) {
+    if (writer_.isBusy() || closed_) {
         return;
     }
     if (!reader_.hasStarted()) {
@@ -218,7 +184,12 @@
 
 bool CallerConnection::isBusy() const
 {
-    return busy_ || reader_.hasStarted();
+    return writer_.isBusy() || reader_.hasStarted();
+}
+
+bool CallerConnection::hasStartedStream() const
+{
+    return writer_.hasStartedStream();
 }
 
 bool CallerConnection::isClosed() const
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -4,7 +4,7 @@
 
 #include "carobhall/channel.h"
 #include "carobhall/gateway_config.h"
-#include "carobhall/http_message.h"
+#include "carobhall/response_writer.h"
 
 #include <functional>
 
@@ -21,8 +21,8 @@
     std::function<void(CallerConnection &)> onClosed{};                            ///< The caller or this process closed the connection.
 };
 
-/// Not thread-safe. Held by shared_ptr. The handler of a request calls exactly one of respond(), respondHead(), abortResponse(), or
-/// startStream() followed by finishStream() or abortResponse().
+/// Not thread-safe. Held by shared_ptr. The handler of a request ends its response with respond(), respondHead(), abortResponse(), or
+/// startStream() followed by finishStream() or abortResponse(). Anything else truncates the response, see ResponseWriter.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -50,15 +50,16 @@
     void closeIfIdle();
     /// Enforces the idle and read timeouts of CallerLimits.
     void checkTimeouts(Micros now);
+    /// A request is being read or handled.
     [[nodiscard]] bool isBusy() const;
+    [[nodiscard]] bool hasStartedStream() const;
     [[nodiscard]] bool isClosed() const;
 
 private:
-    /// The status line and headers, with the header that delimits the body (\p framing; empty: none).
-    [[nodiscard]] std::string responseHead(unsigned status, const std::vector<HeaderField> &fields, std::string_view framing, std::string_view value);
     void readRequests();
+    /// Sends the bytes of \p output and ends the response or the connection as it says.
+    void apply(const ResponseOutput &output);
     void reject(unsigned status, std::string_view reason);
-    void finishResponse();
     void close();
 
     CallerConnectionOptions options_;
@@ -66,9 +67,7 @@
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
     Micros lastBytesAt_ = 0;
-    bool busy_ = false;            ///< A request is being handled.
-    bool closing_ = false;         ///< beginShutdown() was called.
-    bool keepAlive_ = true;        ///< The connection stays open after the current response.
+    ResponseWriter writer_;
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
     bool closed_ = false;
     bool reading_ = false; ///< readRequests() is on the call stack.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -22,9 +22,12 @@
 /// still be met.
 constexpr double InactivityShareOfTarget = 0.6;
 constexpr Micros MinInactivityTimeout = 100 * MicrosPerMilli;
-/// A resumable stream without an event for this time is resumed at another upstream. Callers abandon a stream after two seconds or
+/// A resumable stream without a data event for this time is resumed at another upstream. Callers abandon a stream after two seconds or
 /// more.
-constexpr Micros StreamInactivityTimeout = 1200 * MicrosPerMilli;
+constexpr Micros MinStreamInactivityTimeout = 1200 * MicrosPerMilli;
+/// A stream whose pauses stay within the target of its route is not resumed elsewhere. Callers abandon a stream after a pause of eight
+/// times the target.
+constexpr double InactivityPerTargetGap = 2.0;
 constexpr Micros InactivityRecheckInterval = 300 * MicrosPerMilli; ///< Interval of further checks while no retry is possible.
 
 /// Share of the latency target of more urgent requests for which less urgent ones may occupy a model server's queue.
@@ -65,8 +68,9 @@
     UpstreamRef upstream;
     std::shared_ptr<UpstreamCall> call;
     EngineChoice choice; ///< Set if the upstream is a model server.
+    UpstreamInstructions instructions;
     Micros startedAt = 0;
-    Micros lastEventAt = 0;
+    Micros lastProgressAt = 0;   ///< The request was sent, or an event with data arrived.
     bool prefillPending = false; ///< The engine has not produced the first token.
 };
 
@@ -174,25 +178,12 @@
     return std::clamp<Micros>(delay, 0, std::max<Micros>(0, remaining / 3));
 }
 
-void Exchange::attempt()
+std::variant<std::unique_ptr<Exchange::Attempt>, Exchange::NoAttempt> Exchange::planAttempt(std::span<const UpstreamRef> excluded, Micros now)
 {
-    const Micros now = monotonicNow();
     const Micros remaining = deadline_ - now - ReturnMargin;
-    if (remaining <= 0) {
-        onDeadline();
-        return;
-    }
-    UpstreamInstructions instructions{
-        .instance = {},
-        .account = account_ != nullptr ? account_->name : std::string(),
-        .timeout = remaining,
-        .priority = std::nullopt,
-        .cacheSalt = {},
-        .fetchFrom = {},
-        .saveTo = {},
-        .resumeAfter = lastEventId_,
-    };
-    auto next = std::make_unique<Attempt>();
+    auto planned = std::make_unique<Attempt>();
+    UpstreamInstructions &instructions = planned->instructions;
+    instructions.account = account_ != nullptr ? account_->name : std::string();
     if (service_->engine && !request_.parts.empty()) {
         const std::uint32_t priority = account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
         instructions.priority = priority;
@@ -205,116 +196,180 @@
                                    .normalWaitLimit = std::max(
                                        overloadWaitLimit,
                                        std::min(remaining, static_cast<Micros>(static_cast<double>(route_->targetLatency) * NormalTargetShare))) };
-        auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, tried_, now);
+        auto chosen = options_.context->upstreams->chooseEngine(demand, *service_, excluded, now);
         if (const auto *const reason = std::get_if<RefusalReason>(&chosen)) {
-            if (verdict_ != Verdict::NotRun) {
-                fail(502, nameOf(*reason));
-            } else {
-                refuse(503, nameOf(*reason), *reason == RefusalReason::Full ? RetryAfterFull : RetryAfterLoading);
-            }
-            return;
+            return NoAttempt{ .reason = nameOf(*reason), .retryAfter = *reason == RefusalReason::Full ? RetryAfterFull : RetryAfterLoading };
         }
-        next->choice = std::get<EngineChoice>(std::move(chosen));
-        next->upstream = next->choice.upstream;
-        instructions.cacheSalt = next->choice.salt;
-        instructions.weightsVersion = next->choice.weightsVersion;
-        instructions.fetchFrom = next->choice.fetchFrom;
-        instructions.saveTo = next->choice.saveTo;
+        planned->choice = std::get<EngineChoice>(std::move(chosen));
+        planned->upstream = planned->choice.upstream;
+        instructions.cacheSalt = planned->choice.salt;
+        instructions.weightsVersion = planned->choice.weightsVersion;
+        instructions.fetchFrom = planned->choice.fetchFrom;
+        instructions.saveTo = planned->choice.saveTo;
     } else {
-        next->upstream = options_.context->upstreams->choosePlainUpstream(*service_, tried_, now);
-        if (!next->upstream) {
-            if (verdict_ != Verdict::NotRun) {
-                fail(502, "no_upstream");
-            } else {
-                refuse(503, "no_upstream", RetryAfterStart);
-            }
-            return;
+        planned->upstream = options_.context->upstreams->choosePlainUpstream(*service_, excluded, now);
+        if (!planned->upstream) {
+            return NoAttempt{ .reason = nameOf(RefusalReason::NoUpstream), .retryAfter = RetryAfterStart };
         }
     }
-    attempt_ = std::move(next);
-    send(attempt_->upstream, instructions);
+    instructions.instance = planned->upstream->record.id;
+    return planned;
 }
 
-void Exchange::send(const UpstreamRef &upstream, const UpstreamInstructions &baseInstructions)
+void Exchange::attempt()
 {
     const Micros now = monotonicNow();
-    UpstreamInstructions instructions = baseInstructions;
-    instructions.instance = upstream->record.id;
-    std::string bytes = options_.context->codec->encodeRequest(options_.head, instructions, options_.body.size());
-    bytes.append(options_.body);
-    Attempt &current = *attempt_;
-    current.startedAt = now;
-    current.lastEventAt = now;
-    current.prefillPending = current.choice.upstream != nullptr;
-    const std::uint64_t memoryTokens = current.prefillPending ? request_.promptTokens + request_.outputTokens : 0;
-    options_.context->upstreams->noteAttemptStarted(*upstream, current.choice.prefillTokens, memoryTokens);
-    if (current.prefillPending) {
-        options_.context->onPrefillQueued(*upstream);
-        options_.context->upstreams->notePrefillStarted(*upstream, current.choice.salt, request_.parts, now);
+    if (deadline_ - now <= ReturnMargin) {
+        onDeadline();
+        return;
     }
-    events_ = {};
-    body_.clear();
-    current.call = std::make_shared<UpstreamCall>(UpstreamCallOptions{ .pool = options_.context->pool,
+    auto planned = planAttempt(tried_, now);
+    if (const auto *const none = std::get_if<NoAttempt>(&planned)) {
+        giveUp(none->reason, none->retryAfter);
+        return;
+    }
+    attempt_ = std::get<std::unique_ptr<Attempt>>(std::move(planned));
+    if (connect(*attempt_, now) == ConnectResult::Failed) {
+        onAttemptFailed(Verdict::NotRun, AttemptResult::Unreachable, "no_connection");
+        return;
+    }
+    send(now);
+}
+
+ConnectResult Exchange::connect(Attempt &planned, Micros now)
+{
+    planned.startedAt = now;
+    planned.lastProgressAt = now;
+    planned.prefillPending = planned.choice.upstream != nullptr;
+    const std::uint64_t memoryTokens = planned.prefillPending ? request_.promptTokens + request_.outputTokens : 0;
+    options_.context->upstreams->noteAttemptStarted(*planned.upstream, planned.choice.prefillTokens, memoryTokens);
+    Attempt *const identity = &planned;
+    planned.call = std::make_shared<UpstreamCall>(UpstreamCallOptions{ .pool = options_.context->pool,
                                                                        .codec = options_.context->codec,
-                                                                       .upstream = upstream,
+                                                                       .upstream = planned.upstream,
                                                                        .requestId = request_.id,
-                                                                       .bytes = std::move(bytes),
                                                                        .headOnly = options_.head.method == "HEAD",
+                                                                       .onConnected = [this] { switchToStandby(); },
                                                                        .onHead = [this] { onHead(); },
                                                                        .onBody = [this] { onBody(); },
-                                                                       .onEnd = [this](CallEnd end) { onEnd(end); } });
-    const std::shared_ptr<UpstreamCall> call = current.call;
-    if (!call->start(now)) {
-        onAttemptFailed(Verdict::NotRun, AttemptResult::Unreachable, "no_connection");
-        return;
+                                                                       .onEnd =
+                                                                           [this, identity](CallEnd end) {
+                                                                               if (identity == standby_.get()) {
+                                                                                   dropStandby(AttemptResult::Unreachable);
+                                                                               } else {
+                                                                                   onEnd(end);
+                                                                               }
+                                                                           } });
+    return planned.call->connect(now);
+}
+
+void Exchange::send(Micros now)
+{
+    Attempt &current = *attempt_;
+    if (current.prefillPending) {
+        options_.context->onPrefillQueued(*current.upstream);
+        options_.context->upstreams->notePrefillStarted(*current.upstream, current.choice.salt, request_.parts, now);
     }
+    events_ = {};
+    body_.clear();
+    current.lastProgressAt = now;
+    current.instructions.timeout = deadline_ - now - ReturnMargin;
+    current.instructions.resumeAfter = lastEventId_;
+    current.call->send(options_.context->codec->encodeRequest(options_.head, current.instructions, options_.body.size()).append(options_.body));
     ++attemptsSent_;
     startInactivityTimer();
 }
 
-void Exchange::startInactivityTimer()
+Micros Exchange::inactivityLimit() const
 {
-    if (!route_->isRetryable()) {
-        return;
-    }
-    Micros limit = StreamInactivityTimeout;
     if (route_->kind == RequestKind::Idempotent) {
-        limit = std::max(MinInactivityTimeout, static_cast<Micros>(static_cast<double>(route_->targetLatency) * InactivityShareOfTarget));
+        return std::max(MinInactivityTimeout, static_cast<Micros>(static_cast<double>(route_->targetLatency) * InactivityShareOfTarget));
+    }
+    const Micros limit = std::max(MinStreamInactivityTimeout, static_cast<Micros>(static_cast<double>(route_->targetGap) * InactivityPerTargetGap));
+    // Before the first token the request may still be queued as estimated. It is not moved to the end of another queue then.
+    return attempt_->prefillPending ? std::max(limit, route_->targetLatency) + 2 * attempt_->choice.timeToFirstToken : limit;
+}
+
+void Exchange::startInactivityTimer()
+{
+    if (route_->isRetryable()) {
+        inactivityTimer_.startOnce(inactivityLimit(), [this] { onInactivity(); });
     }
-    inactivityTimer_.startOnce(limit, [this] { onInactivity(); });
 }
 
 void Exchange::onInactivity()
 {
     const Micros now = monotonicNow();
-    if (route_->kind == RequestKind::Streaming) {
-        // Before the first token the request may still be queued as estimated. It is not moved to the end of another queue then.
-        const Micros expectedWait = attempt_->prefillPending ? 2 * attempt_->choice.timeToFirstToken : 0;
-        const Micros limit = StreamInactivityTimeout + expectedWait;
-        const Micros inactiveFor = now - attempt_->lastEventAt;
-        if (inactiveFor < limit) {
-            inactivityTimer_.startOnce(limit - inactiveFor, [this] { onInactivity(); });
-            return;
-        }
+    if (const Micros remaining = attempt_->lastProgressAt + inactivityLimit() - now; remaining > 0) {
+        inactivityTimer_.startOnce(remaining, [this] { onInactivity(); });
+        return;
+    }
+    // The attempt continues until the standby is connected: the upstream may still respond, or another one may become available.
+    inactivityTimer_.startOnce(InactivityRecheckInterval, [this] { onInactivity(); });
+    if (!standby_ && attemptsSent_ < route_->maxAttempts && deadline_ - now > 2 * ReturnMargin) {
+        prepareStandby(now);
     }
-    if (attemptsSent_ >= route_->maxAttempts || options_.context->upstreams->readyCount(service_->name) < 2
-        || !options_.context->retries->take(service_->name, now)) {
-        // The attempt continues: the upstream may still respond, or a retry may become possible.
-        inactivityTimer_.startOnce(InactivityRecheckInterval, [this] { onInactivity(); });
+}
+
+void Exchange::prepareStandby(Micros now)
+{
+    std::vector<UpstreamRef> excluded = tried_;
+    excluded.push_back(attempt_->upstream);
+    auto planned = planAttempt(excluded, now);
+    if (std::holds_alternative<NoAttempt>(planned)) {
+        return;
+    }
+    auto &next = std::get<std::unique_ptr<Attempt>>(planned);
+    if (!next->upstream->present || next->upstream->avoidUntil > now) {
+        // An upstream that was removed or has just failed is no better than a silent one.
+        return;
+    }
+    standby_ = std::move(next);
+    switch (connect(*standby_, now)) {
+    case ConnectResult::Failed:
+        dropStandby(AttemptResult::Unreachable);
+        return;
+    case ConnectResult::Connecting:
+        return;
+    case ConnectResult::Connected:
+        switchToStandby();
+        return;
+    }
+}
+
+void Exchange::switchToStandby()
+{
+    if (!standby_) {
+        return;
+    }
+    const Micros now = monotonicNow();
+    if (deadline_ - now <= 2 * ReturnMargin || !options_.context->retries->take(service_->name, now)) {
+        dropStandby(AttemptResult::Abandoned);
         return;
     }
-    const std::shared_ptr<Exchange> self = shared_from_this();
     logEvent(LogLevel::Info, "attempt_abandoned",
              { { "id", request_.id },
                { "upstream", attempt_->upstream->record.id },
+               { "next_upstream", standby_->upstream->record.id },
                { "reason", "silent" },
-               { "silent_ms", (now - attempt_->lastEventAt) / MicrosPerMilli } });
+               { "stream_started", options_.caller->hasStartedStream() },
+               { "expected_ms", attempt_->choice.timeToFirstToken / MicrosPerMilli },
+               { "silent_ms", (now - attempt_->lastProgressAt) / MicrosPerMilli } });
     verdict_ = combine(verdict_, Verdict::MayHaveRun);
     tried_.push_back(attempt_->upstream);
     // Resetting the connection makes the upstream cancel the request before the next attempt starts.
     attempt_->call->cancel();
-    endAttempt(AttemptResult::Failed);
-    attempt();
+    endAttempt(*attempt_, AttemptResult::Failed);
+    attempt_ = std::move(standby_);
+    send(now);
+}
+
+void Exchange::dropStandby(AttemptResult result)
+{
+    if (const std::unique_ptr<Attempt> dropped = std::move(standby_)) {
+        dropped->call->cancel();
+        endAttempt(*dropped, result);
+    }
 }
 
 bool Exchange::mayRetry(Verdict lastVerdict, Micros now)
@@ -348,7 +403,6 @@
 void Exchange::forwardEvents()
 {
     if (!events_.add(attempt_->call->takeBody())) {
-        attempt_->call->cancel();
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "event_too_long");
         return;
     }
@@ -363,14 +417,17 @@
         if (event->id) {
             lastEventId_ = *event->id;
         }
-        attempt_->lastEventAt = now;
+        if (event->hasData || event->id) {
+            // Comments keep a connection open but are no progress.
+            attempt_->lastProgressAt = now;
+            dropStandby(AttemptResult::Abandoned);
+        }
         out += event->text;
     }
     if (out.empty()) {
         return;
     }
-    if (!streamStarted_) {
-        streamStarted_ = true;
+    if (!options_.caller->hasStartedStream()) {
         firstEventAt_ = now;
         options_.context->metrics->observe("carobhall_first_event_seconds", "route=\"" + route_->name + "\"", now - arrivedAt_);
         options_.caller->startStream(attempt_->call->head().status, forwardedFields(attempt_->call->head()));
@@ -381,6 +438,7 @@
 void Exchange::onEnd(CallEnd end)
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
+    dropStandby(AttemptResult::Abandoned);
     const ResponseHead &head = attempt_->call->head();
     const UpstreamResponse &response = attempt_->call->response();
     if (end == CallEnd::NotSent) {
@@ -428,7 +486,7 @@
             logEvent(LogLevel::Info, "attempt_repeated",
                      { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "reason", "server_error" }, { "status", head.status } });
             // An error response is not counted against the upstream's health: some requests cause errors on any upstream.
-            endAttempt(AttemptResult::Served);
+            endAttempt(*attempt_, AttemptResult::Served);
             attempt();
             return;
         }
@@ -438,14 +496,14 @@
 
 void Exchange::onStreamEnd()
 {
-    if (!streamStarted_ || events_.hasPartialEvent()) {
+    if (!options_.caller->hasStartedStream() || events_.hasPartialEvent()) {
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "stream_without_end");
         return;
     }
     verdict_ = Verdict::Ran;
     const unsigned status = attempt_->call->head().status;
     options_.caller->finishStream();
-    endAttempt(AttemptResult::Served);
+    endAttempt(*attempt_, AttemptResult::Served);
     finish(status, "served");
 }
 
@@ -464,7 +522,9 @@
                { "sent", attemptsSent_ } });
     options_.context->metrics->count("carobhall_attempts_failed_total", "reason=\"" + std::string(reason) + "\"");
     verdict_ = combine(verdict_, verdict);
-    endAttempt(result);
+    attempt_->call->cancel();
+    dropStandby(AttemptResult::Abandoned);
+    endAttempt(*attempt_, result);
     const bool received = result != AttemptResult::Unreachable;
     tried_.push_back(upstream);
     if (!received) {
@@ -479,28 +539,33 @@
         attempt();
         return;
     }
-    if (streamStarted_) {
+    giveUp(reason, RetryAfterRejected);
+}
+
+void Exchange::giveUp(std::string_view reason, Micros retryAfter, unsigned failureStatus)
+{
+    if (options_.caller->hasStartedStream()) {
+        const std::shared_ptr<Exchange> self = shared_from_this();
+        // Finished first, so that closing the connection is not taken for a caller that left.
+        finish(0, reason);
         options_.caller->abortResponse();
-        finish(0, "stream_broken");
     } else if (verdict_ == Verdict::NotRun) {
-        refuse(503, reason, RetryAfterRejected);
+        refuse(503, reason, retryAfter);
     } else {
-        fail(502, reason);
+        fail(failureStatus, reason);
     }
 }
 
-void Exchange::endAttempt(AttemptResult result)
+void Exchange::endAttempt(Attempt &ended, AttemptResult result)
 {
-    inactivityTimer_.stop();
-    if (!attempt_) {
-        return;
+    if (&ended == attempt_.get()) {
+        inactivityTimer_.stop();
     }
     const Micros now = monotonicNow();
-    if (attempt_->prefillPending) {
-        options_.context->upstreams->noteFirstToken(*attempt_->upstream, attempt_->choice.prefillTokens);
+    if (std::exchange(ended.prefillPending, false)) {
+        options_.context->upstreams->noteFirstToken(*ended.upstream, ended.choice.prefillTokens);
     }
-    options_.context->upstreams->noteAttemptEnded(*attempt_->upstream, result, now - attempt_->startedAt, now);
-    attempt_->prefillPending = false;
+    options_.context->upstreams->noteAttemptEnded(*ended.upstream, result, now - ended.startedAt, now);
 }
 
 std::vector<HeaderField> Exchange::forwardedFields(const ResponseHead &head) const
@@ -523,7 +588,7 @@
     } else {
         options_.caller->respond(status, forwardedFields(head), body_);
     }
-    endAttempt(AttemptResult::Served);
+    endAttempt(*attempt_, AttemptResult::Served);
     finish(status, isSuccess(status) ? "served" : "upstream_error");
 }
 
@@ -544,20 +609,21 @@
 void Exchange::onDeadline()
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
-    const bool sent = attempt_ && attempt_->call;
-    if (sent) {
-        verdict_ = combine(verdict_, Verdict::MayHaveRun);
-        attempt_->call->cancel();
-        endAttempt(AttemptResult::Abandoned);
-    }
-    if (streamStarted_) {
-        options_.caller->abortResponse();
-        finish(0, "deadline");
-    } else if (verdict_ == Verdict::NotRun) {
-        refuse(503, "deadline", RetryAfterFull);
-    } else {
-        fail(504, "deadline");
+    cancelAttempt();
+    giveUp("deadline", RetryAfterFull, 504);
+}
+
+void Exchange::cancelAttempt()
+{
+    dropStandby(AttemptResult::Abandoned);
+    if (!attempt_ || !attempt_->call->isActive()) {
+        return;
     }
+    verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    attempt_->call->cancel();
+    // A stream that stalls after its first event is the upstream's failure; before that the request may have been queued.
+    const bool stalled = options_.caller->hasStartedStream() && monotonicNow() - attempt_->lastProgressAt > inactivityLimit();
+    endAttempt(*attempt_, stalled ? AttemptResult::Failed : AttemptResult::Abandoned);
 }
 
 void Exchange::onCallerDisconnected()
@@ -566,10 +632,7 @@
         return;
     }
     const std::shared_ptr<Exchange> self = shared_from_this();
-    if (attempt_ && attempt_->call) {
-        attempt_->call->cancel();
-        endAttempt(AttemptResult::Abandoned);
-    }
+    cancelAttempt();
     finish(0, "caller_left");
 }
 
@@ -579,11 +642,7 @@
         return;
     }
     const std::shared_ptr<Exchange> self = shared_from_this();
-    if (attempt_ && attempt_->call) {
-        verdict_ = combine(verdict_, Verdict::MayHaveRun);
-        attempt_->call->cancel();
-        endAttempt(AttemptResult::Abandoned);
-    }
+    cancelAttempt();
     finish(0, "process_stopped");
     options_.caller->abortResponse();
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -55,14 +55,32 @@
 
 private:
     struct Attempt;
+    /// Why there is no upstream for an attempt, and the base value for Retry-After.
+    struct NoAttempt {
+        std::string_view reason;
+        Micros retryAfter = 0;
+    };
 
-    /// Chooses an upstream and sends the request to it; responds with an error when there is none.
+    /// Chooses an upstream that is not in \p excluded. Sends nothing.
+    [[nodiscard]] std::variant<std::unique_ptr<Attempt>, NoAttempt> planAttempt(std::span<const UpstreamRef> excluded, Micros now);
+    /// Sends the request to an upstream; ends the exchange when there is none.
     void attempt();
-    void send(const UpstreamRef &upstream, const UpstreamInstructions &baseInstructions);
+    /// Takes or starts the connection of \p planned and accounts for it in the table of upstreams.
+    [[nodiscard]] ConnectResult connect(Attempt &planned, Micros now);
+    /// Sends the request on the connection of attempt_.
+    void send(Micros now);
+    /// Connects to another upstream, if there is one, while the silent attempt continues.
+    void prepareStandby(Micros now);
+    /// The connection of the standby is established: the standby replaces the silent attempt if the retry budget allows.
+    void switchToStandby();
+    /// The silent attempt has made progress or has ended, or the standby is of no use: closes the standby's connection.
+    void dropStandby(AttemptResult result);
     /// Draws a service of the route at random, by weight.
     [[nodiscard]] std::string chooseService() const;
     /// Whether the request may be sent to another upstream; takes a retry from the budget.
     bool mayRetry(Verdict lastVerdict, Micros now);
+    /// How long the current attempt may be silent before another upstream is tried.
+    [[nodiscard]] Micros inactivityLimit() const;
     void startInactivityTimer();
     void onInactivity();
     void onDeadline();
@@ -72,8 +90,14 @@
     void forwardEvents();
     void onStreamEnd();
     void onAttemptFailed(Verdict verdict, AttemptResult result, std::string_view reason);
-    void endAttempt(AttemptResult result);
+    /// Cancels the attempt in progress, if any: its result is not needed any more.
+    void cancelAttempt();
+    /// Removes \p ended from the accounts of its upstream.
+    void endAttempt(Attempt &ended, AttemptResult result);
     void deliverResponse();
+    /// Ends the exchange without a response of an upstream: truncates a stream that has started; otherwise responds that the request
+    /// has not run and when to retry, or with \p failureStatus if it may have run.
+    void giveUp(std::string_view reason, Micros retryAfter, unsigned failureStatus = 502);
     /// Responds with an error and a Retry-After header: the request has not run and can be sent again.
     void refuse(unsigned status, std::string_view reason, Micros retryAfter);
     /// Responds with an error without Retry-After.
@@ -98,13 +122,13 @@
     std::vector<UpstreamRef> tried_;    ///< Upstreams that are not chosen again for this request.
     std::uint32_t attemptsSent_ = 0;    ///< Number of upstreams that received the request.
     std::unique_ptr<Attempt> attempt_;
+    std::unique_ptr<Attempt> standby_; ///< Replaces the silent attempt_ once its connection is established.
     Timer deadlineTimer_;
     Timer inactivityTimer_;
     EventSplitter events_;
     std::string lastEventId_;
     Micros firstEventAt_ = 0;
     std::string body_; ///< Body of a response that is not streamed.
-    bool streamStarted_ = false;
     bool finished_ = false;
 };
 
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -90,7 +90,7 @@
     cancel();
 }
 
-bool UpstreamCall::start(Micros now)
+ConnectResult UpstreamCall::connect(Micros now)
 {
     channel_ = options_.pool->takeIdle(*options_.upstream, now);
     usedIdle_ = channel_ != nullptr;
@@ -98,19 +98,32 @@
     const auto onEnd = [this](ChannelEnd reason) { onChannelEnd(reason); };
     if (channel_) {
         channel_->setCallbacks(onData, onEnd);
-    } else {
-        channel_ = Channel::connect(
-            options_.upstream->record.address,
-            { .onOpen = [this] { connectTimer_.stop(); }, .onData = onData, .onEnd = onEnd, .unackedTimeout = options_.pool->options().unackedTimeout });
-        if (!channel_) {
-            ended_ = true;
-            return false;
-        }
-        connectTimer_.startOnce(options_.pool->options().connectTimeout, [this] { finish(CallEnd::NotSent); });
+        return ConnectResult::Connected;
+    }
+    channel_ = Channel::connect(
+        options_.upstream->record.address,
+        { .onOpen = [this] { onOpen(); }, .onData = onData, .onEnd = onEnd, .unackedTimeout = options_.pool->options().unackedTimeout });
+    if (!channel_) {
+        ended_ = true;
+        return ConnectResult::Failed;
     }
-    channel_->write(options_.bytes);
-    options_.bytes.clear();
-    return true;
+    connectTimer_.startOnce(options_.pool->options().connectTimeout, [this] { finish(CallEnd::NotSent); });
+    return ConnectResult::Connecting;
+}
+
+void UpstreamCall::onOpen()
+{
+    connectTimer_.stop();
+    if (!requestSent_ && options_.onConnected) {
+        const std::shared_ptr<UpstreamCall> self = shared_from_this();
+        options_.onConnected();
+    }
+}
+
+void UpstreamCall::send(std::string_view bytes)
+{
+    requestSent_ = true;
+    channel_->write(bytes);
 }
 
 void UpstreamCall::cancel()
@@ -123,6 +136,11 @@
     }
 }
 
+bool UpstreamCall::isActive() const
+{
+    return !ended_;
+}
+
 const ResponseHead &UpstreamCall::head() const
 {
     return reader_.head();
@@ -146,6 +164,11 @@
 void UpstreamCall::onData()
 {
     const std::shared_ptr<UpstreamCall> self = shared_from_this();
+    if (!requestSent_) {
+        // Bytes before the request belong to no request.
+        finish(CallEnd::NotSent);
+        return;
+    }
     readResponse();
 }
 
@@ -194,7 +217,7 @@
 {
     const std::shared_ptr<UpstreamCall> self = shared_from_this();
     reusable_ = false;
-    if (reason == ChannelEnd::ConnectFailed) {
+    if (reason == ChannelEnd::ConnectFailed || !requestSent_) {
         finish(CallEnd::NotSent);
         return;
     }
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -52,7 +52,7 @@
 /// The result of a call.
 enum class CallEnd : std::uint8_t {
     Complete,
-    NotSent, ///< The connection was not established: the upstream has not received the request.
+    NotSent, ///< The connection was not established or send() was not called: the upstream has not received the request.
     Broken,  ///< The connection was lost or the response is malformed; the upstream may have run the request.
 };
 
@@ -65,13 +65,28 @@
     };
 };
 
+enum class ConnectResult : std::uint8_t {
+    Failed,     ///< No connection could be started.
+    Connecting, ///< The handshake is in progress.
+    Connected,  ///< An idle connection of the pool is used.
+};
+
+template<>
+struct EnumNames<ConnectResult> {
+    static constexpr std::array rows{
+        EnumName{ ConnectResult::Failed, "failed" },
+        EnumName{ ConnectResult::Connecting, "connecting" },
+        EnumName{ ConnectResult::Connected, "connected" },
+    };
+};
+
 struct UpstreamCallOptions {
     UpstreamPool *pool = nullptr;
     const ExchangeCodec *codec = nullptr;
     UpstreamRef upstream{};
     std::string requestId{};
-    std::string bytes{};                  ///< The serialized request.
     bool headOnly = false;                ///< The response has no body.
+    std::function<void()> onConnected{};  ///< A connection that connect() has started is established. Not called after send().
     std::function<void()> onHead{};       ///< Called once.
     std::function<void()> onBody{};       ///< More data is available from takeBody().
     std::function<void(CallEnd)> onEnd{}; ///< Called once, unless the call is cancelled.
@@ -86,11 +101,15 @@
     UpstreamCall(const UpstreamCall &) = delete;
     UpstreamCall &operator=(const UpstreamCall &) = delete;
 
-    /// Sends the request. Returns false when no connection could be started; no callback is called then.
-    bool start(Micros now);
+    /// Takes an idle connection or starts a new one. Call once. No callback is called after ConnectResult::Failed.
+    ConnectResult connect(Micros now);
+    /// Sends the serialized request \p bytes, at once or when the connection is established. Call once, after connect().
+    void send(std::string_view bytes);
     /// Resets the connection, so that the upstream cancels the request. No callback is called afterwards.
     void cancel();
 
+    /// The call has neither ended nor been cancelled.
+    [[nodiscard]] bool isActive() const;
     [[nodiscard]] const ResponseHead &head() const;
     [[nodiscard]] const UpstreamResponse &response() const;
     [[nodiscard]] std::string takeBody();
@@ -101,6 +120,7 @@
     /// Responses to other requests that are skipped on one connection before the call fails.
     static constexpr unsigned MaxStaleResponses = 3;
 
+    void onOpen();
     void onData();
     void onChannelEnd(ChannelEnd reason);
     void readResponse();
@@ -112,6 +132,7 @@
     UpstreamResponse response_;
     Timer connectTimer_;
     bool usedIdle_ = false;
+    bool requestSent_ = false; ///< send() was called.
     bool headReceived_ = false;
     bool reusable_ = true;
     bool ended_ = false;
