Pace watches and statuses by the size of the fleet, and index engines by address

By reading: (1) every gateway ends two idle watches every 3 s, and renews the watch of the servers every 200 ms while a rollout of weights changes the entries of all servers; (2) every sidecar sends a status to every gateway every 120 ms, 1,300 messages a second for a gateway of 160 engines; (3) each status, each cache event and each link on each tick looks its engine up by a scan over all upstreams, and an engine with new weights scans the whole index of parts.

Change: the wait of an idle watch is drawn between 3 s and a limit that grows with the number of gateways (12 s at most; sidecars 8 to 25 s), so that some process still reads anew soon after a loss of history and passes it on; without links the shortest wait is used. The watch of the servers collects changes for a quarter of the time for draining. The list for the waves of a rollout may be stale. A sidecar sends at most 350 statuses a second to all gateways together (1,500 for demand). Engines are indexed by IP, parts by holder, and links are matched to the list only when it changes. Calls of the store are counted by cause and kind on the metrics.

Ruled out: allowStale for watches, since a draining server or a withdrawn key would be known seconds late.

--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -42,6 +42,7 @@
     double retryRatio = 0.1;                ///< Fleet-wide limit of retries, see RetryBudgetOptions.
     double retryAllowance = 0.0;
     Micros retryWindow = 10 * MicrosPerSecond;
+    Micros drainTime = 4 * MicrosPerSecond;                         ///< An upstream gets no request this long after its entry says that it is draining.
     Micros weightsDeadline = UpstreamTable::DefaultWeightsDeadline; ///< No request starts on weights that were replaced this long ago.
 };
 
@@ -71,6 +72,9 @@
     CacheFeedCodec feed{};
     PlatformClient *platform = nullptr;
     std::function<void()> onStopped{}; ///< The shutdown begun by beginShutdown() is complete.
+    /// The number of gateways that exchange configurations through the sidecars, this one included. May be empty.
+    std::function<void(std::uint32_t count)> onFleetSize{};
+    Metrics *metrics = nullptr; ///< Must outlive the gateway. Null: the gateway keeps its own.
 };
 
 /// Not thread-safe: use it from the thread that iterates the default main context. options.platform outlives it.
--- a/packages/gateway/include/carobhall/prefix_cache_index.h
+++ b/packages/gateway/include/carobhall/prefix_cache_index.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Carobhall
 {
@@ -39,7 +40,8 @@
 
     void add(PartKey part, UpstreamNumber holder, Micros now);
     void remove(PartKey part, UpstreamNumber holder);
-    /// Removes all entries of an upstream that has lost its cache, because of a restart or of new weights.
+    /// Removes all entries of an upstream that has lost its cache, because of a restart or of new weights. Takes time in proportion to
+    /// the entries of that upstream.
     void removeHolder(UpstreamNumber holder);
 
     [[nodiscard]] bool holds(PartKey part, UpstreamNumber holder) const;
@@ -64,10 +66,16 @@
         Micros startedAt = 0;
     };
 
+    /// Removes a key without holders, or an evicted one.
+    void erase(PartKey part);
+    /// Removes keys from insertionOrder_ that are no longer indexed, once they are most of it.
+    void compactOrder();
+
     std::size_t maxEntries_;
     std::unordered_map<PartKey, std::vector<UpstreamNumber>> holders_;
+    std::unordered_map<UpstreamNumber, std::unordered_set<PartKey>> partsOf_; ///< The reverse of holders_.
     std::unordered_map<PartKey, Prefill> prefills_;
-    std::deque<PartKey> insertionOrder_; ///< Keys of holders_, oldest first.
+    std::deque<PartKey> insertionOrder_; ///< Keys of holders_, oldest first, and keys that have been removed.
 };
 
 } // namespace Carobhall
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -195,12 +195,15 @@
 
     [[nodiscard]] Distance distanceTo(std::string_view zone) const;
     [[nodiscard]] const std::map<std::string, UpstreamRef, std::less<>> &byId() const;
+    /// Increases with each change of the list of upstreams.
+    [[nodiscard]] std::uint64_t revision() const;
     /// Number of listed, running and not draining upstreams of \p service; of all services when it is empty.
     [[nodiscard]] std::size_t readyCount(std::string_view service) const;
     [[nodiscard]] const PrefixCacheIndex &cacheIndex() const;
     [[nodiscard]] const QueueWaitLimit &queueWaitLimit() const;
 
 private:
+    void removeFromIpIndex(const UpstreamRef &upstream);
     /// Upstreams of \p service that are not in \p tried. If none is healthy, the upstreams to be avoided; if there are none of these
     /// either, those that were removed within the grace period.
     [[nodiscard]] std::vector<UpstreamRef> candidates(std::string_view service, std::span<const UpstreamRef> tried, Micros now) const;
@@ -222,6 +225,8 @@
     Micros weightsDeadline_;
     std::map<std::string, UpstreamRef, std::less<>> byId_;
     std::vector<UpstreamRef> byNumber_;
+    NameMap<std::vector<UpstreamRef>> byIp_; ///< The upstreams of byId_ by the IP of their address.
+    std::uint64_t revision_ = 0;
     PrefixCacheIndex cacheIndex_;
     QueueWaitLimit queueWaitLimit_; ///< Follows the queue delays of long prompts.
     UpstreamRef store_;             ///< The KV cache store. It holds parts like an upstream but is never chosen for requests.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -63,7 +63,8 @@
     static void onReadiness(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer self);
 
     GatewayOptions options;
-    Metrics metrics;
+    Metrics ownMetrics;
+    Metrics &metrics;
     std::mt19937_64 random;
     UpstreamTable upstreams;
     UpstreamPool pool;
@@ -91,6 +92,7 @@
 
 Gateway::Impl::Impl(GatewayOptions gatewayOptions)
     : options(std::move(gatewayOptions))
+    , metrics(options.metrics != nullptr ? *options.metrics : ownMetrics)
     , random(drawIncarnation())
     , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline)
     , pool({})
@@ -165,7 +167,13 @@
                     logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "bytes", text.size() } });
                 }
             },
-        .onGatewayCount = [this](std::uint32_t count) { retries.setGatewayCount(count); },
+        .onGatewayCount =
+            [this](std::uint32_t count) {
+                retries.setGatewayCount(count);
+                if (options.onFleetSize) {
+                    options.onFleetSize(count);
+                }
+            },
         .onSuspects = [this](const std::vector<SuspectFact> &facts) { poisonRequests.merge(facts, monotonicNow()); },
     });
     ticker.startRepeating(TickInterval, [this] { tick(); });
@@ -181,6 +189,10 @@
     configWatcher->tick(now);
     upstreamWatcher->tick(now);
     links->tick(routes.get(), now);
+    if (options.onFleetSize && links->openCount() == 0) {
+        // Without a link, nobody passes on configurations.
+        options.onFleetSize(1);
+    }
     if (cacheStoreFeed) {
         cacheStoreFeed->tick(now);
     }
--- a/packages/gateway/src/prefix_cache_index.cpp
+++ b/packages/gateway/src/prefix_cache_index.cpp
@@ -7,6 +7,14 @@
 namespace Carobhall
 {
 
+namespace
+{
+
+/// Removed keys that may stay in the order of insertion of a small index.
+constexpr std::size_t CompactionSlack = 1'000;
+
+} // namespace
+
 std::string cacheSalt(std::uint64_t weightsVersion, std::string_view isolatedAccount)
 {
     std::string salt = std::to_string(weightsVersion);
@@ -30,7 +38,7 @@
 {
     prefills_.erase(part);
     auto [entry, isNew] = holders_.try_emplace(part);
-    if (std::ranges::find(entry->second, holder) == entry->second.end()) {
+    if (partsOf_[holder].insert(part).second) {
         entry->second.push_back(holder);
     }
     if (!isNew) {
@@ -38,13 +46,19 @@
     }
     insertionOrder_.push_back(part);
     while (holders_.size() > maxEntries_ && !insertionOrder_.empty()) {
-        holders_.erase(insertionOrder_.front());
+        const PartKey oldest = insertionOrder_.front();
         insertionOrder_.pop_front();
+        erase(oldest);
     }
+    compactOrder();
 }
 
 void PrefixCacheIndex::remove(PartKey part, UpstreamNumber holder)
 {
+    const auto parts = partsOf_.find(holder);
+    if (parts == partsOf_.end() || parts->second.erase(part) == 0) {
+        return;
+    }
     if (const auto found = holders_.find(part); found != holders_.end()) {
         std::erase(found->second, holder);
     }
@@ -52,13 +66,40 @@
 
 void PrefixCacheIndex::removeHolder(UpstreamNumber holder)
 {
-    for (auto &[part, holders] : holders_) {
-        std::erase(holders, holder);
-    }
     std::erase_if(prefills_, [holder](const auto &entry) { return entry.second.upstream == holder; });
-    // Keys without a holder are removed only here, because this function visits all entries anyway.
-    std::erase_if(holders_, [](const auto &entry) { return entry.second.empty(); });
-    std::erase_if(insertionOrder_, [this](PartKey part) { return !holders_.contains(part); });
+    const auto parts = partsOf_.extract(holder);
+    if (parts.empty()) {
+        return;
+    }
+    for (const PartKey part : parts.mapped()) {
+        if (const auto found = holders_.find(part); found != holders_.end()) {
+            std::erase(found->second, holder);
+            if (found->second.empty()) {
+                holders_.erase(found);
+            }
+        }
+    }
+}
+
+void PrefixCacheIndex::erase(PartKey part)
+{
+    const auto found = holders_.find(part);
+    if (found == holders_.end()) {
+        return;
+    }
+    for (const UpstreamNumber holder : found->second) {
+        partsOf_[holder].erase(part);
+    }
+    holders_.erase(found);
+}
+
+void PrefixCacheIndex::compactOrder()
+{
+    if (insertionOrder_.size() <= 2 * holders_.size() + CompactionSlack) {
+        return;
+    }
+    std::unordered_set<PartKey> seen;
+    std::erase_if(insertionOrder_, [&](PartKey part) { return !holders_.contains(part) || !seen.insert(part).second; });
 }
 
 bool PrefixCacheIndex::holds(PartKey part, UpstreamNumber holder) const
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -37,6 +37,36 @@
     if (const auto peer = configPulls_.nextPeer(options_.configurationVersion(), offerDelay, now)) {
         endpoint_.send(*peer, ConfigPull{ .heldVersion = options_.configurationVersion() });
     }
+    const std::uint64_t configuration = routes != nullptr ? routes->config().version : 0;
+    if (options_.upstreams->revision() != linkedRevision_ || configuration != linkedConfiguration_) {
+        linkedRevision_ = options_.upstreams->revision();
+        linkedConfiguration_ = configuration;
+        updateLinks(routes);
+    }
+    for (auto &[ip, link] : links_) {
+        if (link.connection != 0 && link.open && now - link.lastMessageAt > InactivityTimeout) {
+            logEvent(LogLevel::Warning, "sidecar_silent", { { "ip", ip }, { "silent_ms", (now - link.lastMessageAt) / MicrosPerMilli } });
+            const ConnectionId old = std::exchange(link.connection, 0);
+            ipOf_.erase(old);
+            configPulls_.removePeer(old);
+            endpoint_.close(old);
+            link.open = false;
+        }
+        if (link.open) {
+            if (const UpstreamRef engine = options_.upstreams->engineAt(ip)) {
+                reportPendingPrefill(*engine);
+            }
+        }
+        if (link.connection == 0 && now >= link.connectAfter) {
+            link.connectAfter = now + ReconnectDelay;
+            link.connection = endpoint_.dial(ip + ":" + std::to_string(options_.port));
+            ipOf_[link.connection] = ip;
+        }
+    }
+}
+
+void SidecarLinks::updateLinks(const RouteTable *routes)
+{
     std::set<std::string, std::less<>> wanted;
     for (const auto &[id, upstream] : options_.upstreams->byId()) {
         const Service *const service = routes != nullptr ? routes->service(upstream->record.service) : nullptr;
@@ -57,25 +87,7 @@
         it = links_.erase(it);
     }
     for (const std::string &ip : wanted) {
-        Link &link = links_[ip];
-        if (link.connection != 0 && link.open && now - link.lastMessageAt > InactivityTimeout) {
-            logEvent(LogLevel::Warning, "sidecar_silent", { { "ip", ip }, { "silent_ms", (now - link.lastMessageAt) / MicrosPerMilli } });
-            const ConnectionId old = std::exchange(link.connection, 0);
-            ipOf_.erase(old);
-            configPulls_.removePeer(old);
-            endpoint_.close(old);
-            link.open = false;
-        }
-        if (link.open) {
-            if (const UpstreamRef engine = options_.upstreams->engineAt(ip)) {
-                reportPendingPrefill(*engine);
-            }
-        }
-        if (link.connection == 0 && now >= link.connectAfter) {
-            link.connectAfter = now + ReconnectDelay;
-            link.connection = endpoint_.dial(ip + ":" + std::to_string(options_.port));
-            ipOf_[link.connection] = ip;
-        }
+        links_.try_emplace(ip);
     }
 }
 
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -64,6 +64,8 @@
     };
 
     [[nodiscard]] KnownVersions knownVersions() const;
+    /// Adds and removes links to match the listed model servers.
+    void updateLinks(const RouteTable *routes);
     void onMessage(ConnectionId connection, Message message);
     void onClosed(ConnectionId connection, std::error_code error);
 
@@ -71,6 +73,8 @@
     Endpoint endpoint_;
     std::map<std::string, Link, std::less<>> links_; ///< By IP address.
     std::map<ConnectionId, std::string> ipOf_;
+    std::uint64_t linkedRevision_ = 0;      ///< Revision of the table that links_ matches.
+    std::uint64_t linkedConfiguration_ = 0; ///< Version of the configuration that links_ matches; 0: none.
     ConfigPullScheduler configPulls_;
     std::string model_;                ///< Model of weightsVersion_.
     std::uint64_t weightsVersion_ = 0; ///< Newest version known to any sidecar; announced to sidecars that the platform refuses to serve.
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -102,15 +102,18 @@
         // This is another process: the state of the previous one does not apply.
         if (entry) {
             cacheIndex_.removeHolder(entry->number);
+            removeFromIpIndex(entry);
         }
         entry = std::make_shared<Upstream>();
         entry->number = static_cast<UpstreamNumber>(byNumber_.size());
         byNumber_.push_back(entry);
+        byIp_[std::string(ipOf(record.address))].push_back(entry);
     }
     entry->record = std::move(record);
     entry->present = true;
     entry->removedAt = 0;
-    for (const auto &[id, other] : byId_) {
+    ++revision_;
+    for (const UpstreamRef &other : byIp_.find(ipOf(entry->record.address))->second) {
         if (other == entry || other->record.address != entry->record.address) {
             continue;
         }
@@ -150,12 +153,14 @@
     if (const auto found = byId_.find(id); found != byId_.end() && found->second->present) {
         found->second->present = false;
         found->second->removedAt = now;
+        ++revision_;
     }
     for (auto it = byId_.begin(); it != byId_.end();) {
         const Upstream &upstream = *it->second;
         if (!upstream.present && upstream.inFlight == 0 && now - upstream.removedAt > 10 * RemovalGracePeriod) {
             cacheIndex_.removeHolder(upstream.number);
             byNumber_[upstream.number] = nullptr;
+            removeFromIpIndex(it->second);
             it = byId_.erase(it);
         } else {
             ++it;
@@ -163,11 +168,32 @@
     }
 }
 
+void UpstreamTable::removeFromIpIndex(const UpstreamRef &upstream)
+{
+    const auto found = byIp_.find(ipOf(upstream->record.address));
+    if (found == byIp_.end()) {
+        return;
+    }
+    std::erase(found->second, upstream);
+    if (found->second.empty()) {
+        byIp_.erase(found);
+    }
+}
+
+std::uint64_t UpstreamTable::revision() const
+{
+    return revision_;
+}
+
 UpstreamRef UpstreamTable::engineAt(std::string_view ip) const
 {
+    const auto found = byIp_.find(ip);
+    if (found == byIp_.end()) {
+        return {};
+    }
     UpstreamRef newest{};
-    for (const auto &[id, upstream] : byId_) {
-        if (ipOf(upstream->record.address) == ip && upstream->present && (!newest || upstream->record.startedAtMs > newest->record.startedAtMs)) {
+    for (const UpstreamRef &upstream : found->second) {
+        if (upstream->present && (!newest || upstream->record.startedAtMs > newest->record.startedAtMs)) {
             newest = upstream;
         }
     }
--- a/packages/sidecar/include/carobhall/sidecar.h
+++ b/packages/sidecar/include/carobhall/sidecar.h
@@ -31,6 +31,8 @@
     EngineCodec engine{};
     PlatformClient *platform = nullptr;
     std::function<void()> onStopped{}; ///< Called when the shutdown is complete.
+    /// The number of model servers of the service, each with a sidecar. May be empty.
+    std::function<void(std::uint32_t count)> onFleetSize{};
 };
 
 /// Not thread-safe: use it from the thread that iterates the default main context. options.platform outlives it.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "carobhall/sidecar.h"
 
 #include "carobhall/config_pull_scheduler.h"
+#include "carobhall/status_pacing.h"
 #include "carobhall/suspects.h"
 
 #include <algorithm>
@@ -14,14 +15,8 @@
 {
 
 constexpr Micros TickInterval = 50 * MicrosPerMilli;
-constexpr Micros ReportInterval = 150 * MicrosPerMilli; ///< A report on the server's own machine causes no network traffic, but costs CPU time.
-/// Used when the load has changed; bounds the age of the load that a gateway knows.
-constexpr Micros StatusInterval = 120 * MicrosPerMilli;
-/// Used when one gateway has sent prompts that the others do not know of yet. They all route by the same status, and would all choose
-/// the server that was idle in the last one.
-constexpr Micros DemandStatusInterval = 20 * MicrosPerMilli;
-constexpr std::uint64_t MinDemandIncreaseTokens = 2'000; ///< For DemandStatusInterval; an engine prefills them in 50 ms.
-constexpr Micros IdleStatusInterval = MicrosPerSecond;   ///< Used when nothing has changed; serves as a heartbeat.
+constexpr Micros ReportInterval = 150 * MicrosPerMilli;  ///< A report on the server's own machine causes no network traffic, but costs CPU time.
+constexpr std::uint64_t MinDemandIncreaseTokens = 2'000; ///< For StatusUrgency::Demand; an engine prefills them in 50 ms.
 /// Time to collect the gateways' offers of a newer configuration, so that the nearest gateway is asked.
 constexpr Micros ConfigPullDelay = 100 * MicrosPerMilli;
 constexpr Micros EngineCallTimeout = 800 * MicrosPerMilli;
@@ -250,7 +245,8 @@
 
 void Sidecar::Impl::computeWave(std::uint64_t version, Micros now)
 {
-    options.platform->call(listCall(options.objectCodec.upstreamKind), now, [this, version](const PlatformReply &reply, Micros at) {
+    // A wave is only a share of the time, so a list that is seconds old is good enough.
+    options.platform->call(staleListCall(options.objectCodec.upstreamKind), now, [this, version](const PlatformReply &reply, Micros at) {
         std::vector<RolloutMember> members;
         for (const PlatformObject &object : reply.items) {
             if (const auto record = options.objectCodec.decodeUpstream(object);
@@ -267,6 +263,9 @@
             wave = static_cast<std::uint32_t>(std::hash<std::string>{}(options.settings.engineAddress) % MaxWaves);
         }
         logEvent(LogLevel::Info, "weights_wave", { { "version", version }, { "wave", *wave }, { "members", members.size() }, { "error", reply.error } });
+        if (options.onFleetSize && !members.empty()) {
+            options.onFleetSize(static_cast<std::uint32_t>(members.size()));
+        }
         rollout.setTarget(version, *wave, at);
         for (const auto &[gateway, pendingPrefill] : gateways) {
             endpoint.send(gateway, knownVersions());
@@ -359,9 +358,9 @@
     const bool changed = !pendingChanges.empty() || pendingCacheReset || status.queued != lastStatus.queued || status.running != lastStatus.running
         || status.usedTokens != lastStatus.usedTokens || pendingPrefill != lastPendingPrefill || status.closed != lastStatus.closed
         || status.weightsVersion != lastStatus.weightsVersion;
-    const Micros interval = pendingPrefill >= lastPendingPrefill + MinDemandIncreaseTokens ? DemandStatusInterval
-        : changed                                                                          ? StatusInterval
-                                                                                           : IdleStatusInterval;
+    const bool moreDemand = pendingPrefill >= lastPendingPrefill + MinDemandIncreaseTokens;
+    const StatusUrgency urgency = moreDemand ? StatusUrgency::Demand : changed ? StatusUrgency::Changed : StatusUrgency::Idle;
+    const Micros interval = statusInterval(urgency, gateways.size());
     const bool urgent = force || status.closed != lastStatus.closed || status.weightsVersion != lastStatus.weightsVersion;
     if (gateways.empty() || (!urgent && now - lastStatusAt < interval)) {
         return;
--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -60,6 +60,7 @@
     std::string name;              ///< Empty for List.
     std::uint64_t baseVersion = 0; ///< Update and Delete take effect only if the object has this version.
     Json::Value spec;              ///< New value, for Create and Update.
+    bool allowStale = false;       ///< List: the reply may be seconds old, which costs a tenth of a call.
 };
 
 /// The verdict describes a write: NotRun if it has not taken effect and never will, Ran if it has taken effect, MayHaveRun if
@@ -270,6 +271,8 @@
 
 [[nodiscard]] PlatformCall getCall(std::string kind, std::string name);
 [[nodiscard]] PlatformCall listCall(std::string kind);
+/// A list that may be seconds old.
+[[nodiscard]] PlatformCall staleListCall(std::string kind);
 /// Create if \p base has no version, otherwise Update of that version.
 [[nodiscard]] PlatformCall writeCall(const PlatformObject &base, Json::Value spec);
 
--- a/packages/state/src/platform.cpp
+++ b/packages/state/src/platform.cpp
@@ -71,6 +71,13 @@
     return { .verb = PlatformVerb::List, .kind = std::move(kind), .name = {}, .spec = {} };
 }
 
+PlatformCall staleListCall(std::string kind)
+{
+    PlatformCall call = listCall(std::move(kind));
+    call.allowStale = true;
+    return call;
+}
+
 PlatformCall writeCall(const PlatformObject &base, Json::Value spec)
 {
     const PlatformVerb verb = base.version == 0 ? PlatformVerb::Create : PlatformVerb::Update;
