End responses that have no end

Cause: servers in trouble may send bytes without end, in a head or a body, until the caller closes. A gateway of 88 MB collected up to 64 MB of one response that is not streamed, skipped up to 64 MB of a response to another request, waited on interim responses without end, and its reader let a chunk header or a trailer grow to the 6 MB of the connection's input. The HTTP client that reads the store, reports and cache events collected any reply until its time limit.

Change: a response that is not streamed is dropped at 4 MiB, skipped bytes at 4 MiB, interim responses at 16, any line of a message at the head's limit; in each case the connection is reset, the attempt counts as the server's failure, and the request is tried elsewhere or answered 502. HttpClient reads in pieces and ends the call with TooLarge at 8 MiB.

Ruled out: a limit in time only, since 200 Mbit/s fill a gateway's memory within a route's time-out.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -36,6 +36,9 @@
 /// estimate.
 constexpr double NormalTargetShare = 0.5;
 
+/// A response that is not streamed is kept until it is complete. A longer one is not forwarded: it may have no end, and a gateway has 88 MB.
+constexpr std::size_t MaxBufferedResponseBytes = std::size_t{ 4 } << 20U;
+
 /// Time that a response needs to reach the caller. The upstream's timeout is shorter than the caller's by this much.
 constexpr Micros ReturnMargin = 20 * MicrosPerMilli;
 
@@ -398,6 +401,10 @@
         return;
     }
     body_ += attempt_->call->takeBody();
+    if (body_.size() > MaxBufferedResponseBytes) {
+        body_ = {};
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "response_too_large");
+    }
 }
 
 void Exchange::forwardEvents()
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -196,6 +196,11 @@
         if (progress == ReadProgress::NeedsMore) {
             if (headReceived_) {
                 options_.onBody();
+            } else if (skipping_) {
+                skippedBytes_ += reader_.takeBody().size();
+                if (skippedBytes_ > MaxSkippedBytes) {
+                    finish(CallEnd::Broken);
+                }
             }
             return;
         }
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -119,6 +119,8 @@
 private:
     /// Responses to other requests that are skipped on one connection before the call fails.
     static constexpr unsigned MaxStaleResponses = 3;
+    /// Body bytes of such responses that are skipped. A stale response may have no end.
+    static constexpr std::size_t MaxSkippedBytes = std::size_t{ 4 } << 20U;
 
     void onOpen();
     void onData();
@@ -138,6 +140,7 @@
     bool ended_ = false;
     bool skipping_ = false; ///< The response that is being read belongs to another request.
     unsigned staleResponses_ = 0;
+    std::size_t skippedBytes_ = 0;
 };
 
 } // namespace Carobhall
--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -22,6 +22,9 @@
     return { text.data(), text.size() };
 }
 
+/// Interim responses before a final one. More of them keep a request waiting without end.
+constexpr unsigned MaxInterimResponses = 16;
+
 constexpr std::array HopByHopNames{
     std::string_view("connection"), std::string_view("keep-alive"),          std::string_view("proxy-connection"), std::string_view("proxy-authenticate"),
     std::string_view("te"),         std::string_view("proxy-authorization"), std::string_view("trailer"),          std::string_view("transfer-encoding"),
@@ -135,7 +138,7 @@
 
 /// Passes \p buffer to \p parser until the message is complete or more input is needed, and removes the consumed bytes.
 template<bool IsRequest>
-ReadProgress parseBuffer(MessageParser<IsRequest> &parser, std::string &buffer, bool &started)
+ReadProgress parseBuffer(MessageParser<IsRequest> &parser, std::string &buffer, bool &started, std::size_t maxLineBytes)
 {
     std::size_t consumed = 0;
     ReadProgress progress = ReadProgress::NeedsMore;
@@ -159,6 +162,10 @@
     if (progress == ReadProgress::NeedsMore && parser.is_done()) {
         return ReadProgress::Complete;
     }
+    if (progress == ReadProgress::NeedsMore && buffer.size() > maxLineBytes) {
+        // Body bytes are consumed at once, so this is a head, a chunk header or a trailer. Beast limits only the first of them.
+        return ReadProgress::HeadTooLarge;
+    }
     return progress;
 }
 
@@ -208,10 +215,12 @@
 // 2. Readers --------------------------------------------------------------------------------------
 
 struct RequestReader::Impl {
-    explicit Impl(const ReaderLimits &limits)
-        : parser(limits)
+    explicit Impl(const ReaderLimits &readerLimits)
+        : limits(readerLimits)
+        , parser(readerLimits)
     {
     }
+    ReaderLimits limits;
     MessageParser<true> parser;
     bool started = false;
 };
@@ -227,7 +236,7 @@
 
 ReadProgress RequestReader::read(std::string &buffer)
 {
-    const ReadProgress progress = parseBuffer(impl_->parser, buffer, impl_->started);
+    const ReadProgress progress = parseBuffer(impl_->parser, buffer, impl_->started, impl_->limits.maxHeaderBytes);
     if (progress == ReadProgress::Complete) {
         impl_->parser.request.persistent = impl_->parser.keep_alive();
     }
@@ -274,6 +283,7 @@
     ReaderLimits limits;
     bool headOnly = false;
     std::optional<MessageParser<false>> parser;
+    unsigned interimResponses = 0;
     bool started = false;
 };
 
@@ -289,8 +299,11 @@
 ReadProgress ResponseReader::read(std::string &buffer)
 {
     for (;;) {
-        const ReadProgress progress = parseBuffer(*impl_->parser, buffer, impl_->started);
+        const ReadProgress progress = parseBuffer(*impl_->parser, buffer, impl_->started, impl_->limits.maxHeaderBytes);
         if (progress == ReadProgress::Complete && impl_->isInterim()) {
+            if (++impl_->interimResponses > MaxInterimResponses) {
+                return ReadProgress::Malformed;
+            }
             impl_->restart();
             continue;
         }
--- a/packages/runtime/include/carobhall/http_client.h
+++ b/packages/runtime/include/carobhall/http_client.h
@@ -28,7 +28,8 @@
 struct HttpClientOptions {
     unsigned maxConnections = 16;
     unsigned idleTimeoutSeconds = 30;
-    std::size_t maxReplyBytes = std::size_t{ 64 } << 20U;
+    /// A longer body ends the call with TooLarge and closes its connection. The largest replies are lists of the platform's store.
+    std::size_t maxReplyBytes = std::size_t{ 8 } << 20U;
 };
 
 /// Not thread-safe. Destruction cancels outstanding calls without running their handlers.
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -41,10 +41,16 @@
         Timer timer;
         bool timedOut = false;
     };
-    struct CompletionContext {
+    /// Passed through the asynchronous operations of one call.
+    struct CallContext {
         std::weak_ptr<Impl> owner;
         std::uint64_t callId = 0;
+        std::size_t maxReplyBytes = 0;
+        ObjectRef<GCancellable> cancellable;
+        ObjectRef<GInputStream> stream{};
+        HttpReply reply{};
     };
+    static constexpr gsize ReadSize = gsize{ 32 } << 10U;
 
     explicit Impl(const HttpClientOptions &clientOptions)
         : options(clientOptions)
@@ -53,25 +59,69 @@
     {
     }
 
-    static void onDone(GObject *source, GAsyncResult *result, gpointer data)
+    static std::error_code takeError(GError *failure)
     {
-        const std::unique_ptr<CompletionContext> context(static_cast<CompletionContext *>(data));
-        GError *failure = nullptr;
-        GBytes *const bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &failure);
-        HttpReply reply;
         const bool refused = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != FALSE;
+        g_error_free(failure);
+        return refused ? Errc::PlatformUnavailable : Errc::ConnectionLost;
+    }
+
+    static void onHead(GObject *source, GAsyncResult *result, gpointer data)
+    {
+        std::unique_ptr<CallContext> context(static_cast<CallContext *>(data));
+        GError *failure = nullptr;
+        context->stream.reset(soup_session_send_finish(SOUP_SESSION(source), result, &failure));
         if (failure != nullptr) {
-            reply.error = refused ? Errc::PlatformUnavailable : Errc::ConnectionLost;
-            g_error_free(failure);
+            context->reply.error = takeError(failure);
+            finish(*context);
+            return;
         }
-        if (bytes != nullptr) {
-            gsize size = 0;
-            const auto *const text = static_cast<const char *>(g_bytes_get_data(bytes, &size));
-            reply.body.assign(text == nullptr ? "" : text, size);
-            g_bytes_unref(bytes);
+        readMore(std::move(context));
+    }
+
+    static void readMore(std::unique_ptr<CallContext> context)
+    {
+        CallContext *const raw = context.release();
+        g_input_stream_read_bytes_async(raw->stream.get(), ReadSize, G_PRIORITY_DEFAULT, raw->cancellable.get(), &Impl::onBytes, raw);
+    }
+
+    static void onBytes(GObject *source, GAsyncResult *result, gpointer data)
+    {
+        std::unique_ptr<CallContext> context(static_cast<CallContext *>(data));
+        GError *failure = nullptr;
+        GBytes *const bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, &failure);
+        if (failure != nullptr) {
+            context->reply.error = takeError(failure);
+            finish(*context);
+            return;
+        }
+        gsize size = 0;
+        const auto *const text = static_cast<const char *>(g_bytes_get_data(bytes, &size));
+        context->reply.body.append(text == nullptr ? "" : text, size);
+        g_bytes_unref(bytes);
+        if (context->reply.body.size() > context->maxReplyBytes) {
+            // The body may have no end. Cancelling closes the connection.
+            context->reply.error = Errc::TooLarge;
+            context->reply.body.clear();
+            g_cancellable_cancel(context->cancellable.get());
+            finish(*context);
+            return;
+        }
+        if (size > 0) {
+            readMore(std::move(context));
+            return;
+        }
+        finish(*context);
+    }
+
+    static void finish(CallContext &context)
+    {
+        if (context.stream) {
+            // Without a pending operation this closes at once. A body that was read to its end leaves the connection reusable.
+            g_input_stream_close(context.stream.get(), context.cancellable.get(), nullptr);
         }
-        if (const auto self = context->owner.lock()) {
-            self->complete(context->callId, std::move(reply));
+        if (const auto self = context.owner.lock()) {
+            self->complete(context.callId, std::move(context.reply));
         }
     }
 
@@ -97,9 +147,6 @@
                 std::ranges::transform(key, key.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
                 reply.headers[key] = value;
             }
-            if (reply.body.size() > options.maxReplyBytes) {
-                reply.error = Errc::TooLarge;
-            }
         }
         pendingCall->done(std::move(reply));
     }
@@ -158,8 +205,9 @@
         g_cancellable_cancel(callState->cancellable.get());
     });
     impl_->pendingCalls[callId] = std::move(pendingCall);
-    soup_session_send_and_read_async(impl_->session.get(), message, G_PRIORITY_DEFAULT, callState->cancellable.get(), &Impl::onDone,
-                                     new Impl::CompletionContext{ .owner = impl_, .callId = callId });
+    auto context = std::make_unique<Impl::CallContext>(Impl::CallContext{
+        .owner = impl_, .callId = callId, .maxReplyBytes = impl_->options.maxReplyBytes, .cancellable = refObject(callState->cancellable.get()) });
+    soup_session_send_async(impl_->session.get(), message, G_PRIORITY_DEFAULT, callState->cancellable.get(), &Impl::onHead, context.release());
     return callId;
 }
 
