Answer requests that wait in the sockets when the process stops

Cause: after the time for accepting, checkStop closed the listener and all connections that looked idle. A connection that the kernel had accepted, or a request whose bytes it had received, but that the process had not read, was closed without an answer; a busy process reads late, so a planned stop under load hits this.

Change: the stop accepts what waits in the listener, then goes on for a tick or more until no connection holds unread bytes.

Tests, platform_operators_test: requestsInTheSocketsAreAnsweredWhenTheProcessStops fails on both cases without the change.

Ruled out: a longer time for accepting, since the race is at its end whatever its length.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -184,7 +184,7 @@
 
 bool CallerConnection::isBusy() const
 {
-    return writer_.isBusy() || reader_.hasStarted();
+    return writer_.isBusy() || reader_.hasStarted() || (!closed_ && channel_->hasUnreadInput());
 }
 
 bool CallerConnection::hasStartedStream() const
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -50,7 +50,7 @@
     void closeIfIdle();
     /// Enforces the idle and read timeouts of CallerLimits.
     void checkTimeouts(Micros now);
-    /// A request is being read or handled.
+    /// A request is being handled or read, or waits in the socket.
     [[nodiscard]] bool isBusy() const;
     [[nodiscard]] bool hasStartedStream() const;
     [[nodiscard]] bool isClosed() const;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -85,6 +85,7 @@
     std::string cacheStoreAddress;
     Timer ticker;
     Micros stoppingSince = 0;
+    bool listenerStopped = false;
     bool stopped = false;
     bool platformReachable = true;
     bool wasReady = false;
@@ -260,8 +261,15 @@
     if (!allIdle && !graceExpiring) {
         return;
     }
+    if (!std::exchange(listenerStopped, true)) {
+        // A busy process may not have accepted all connections, or read their requests, by now. They are handled before it stops.
+        listener.acceptPending();
+        listener.stop();
+        if (!graceExpiring) {
+            return;
+        }
+    }
     stopped = true;
-    listener.stop();
     const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
     for (const std::shared_ptr<CallerConnection> &caller : all) {
         caller->closeIfIdle();
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -61,6 +61,8 @@
     void write(std::string_view data);
     /// Number of queued bytes that the socket has not accepted yet.
     [[nodiscard]] std::size_t unsent() const;
+    /// Whether the socket holds received bytes that have not been read into input() yet.
+    [[nodiscard]] bool hasUnreadInput() const;
     /// Whether the connection is established or being established.
     [[nodiscard]] bool isOpen() const;
     /// Whether the connection has ended and its socket is released.
@@ -110,6 +112,8 @@
     std::error_code listen(const std::string &address);
     /// The port that listen() has bound.
     [[nodiscard]] std::uint16_t port() const;
+    /// Accepts the connections that wait in the socket. stop() resets those that were not accepted.
+    void acceptPending();
     void stop();
 
 private:
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -169,6 +169,12 @@
     return output_.size() - sent_;
 }
 
+bool Channel::hasUnreadInput() const
+{
+    char byte = 0;
+    return descriptor_ >= 0 && recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool Channel::isOpen() const
 {
     return state_ == State::Open || state_ == State::Connecting;
@@ -383,6 +389,13 @@
     return port_;
 }
 
+void ChannelListener::acceptPending()
+{
+    if (descriptor_ >= 0) {
+        onReady(descriptor_, 0, this);
+    }
+}
+
 void ChannelListener::stop()
 {
     if (const unsigned source = std::exchange(source_, 0)) {
