--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -60,7 +60,7 @@
     std::string name;              ///< Empty for List.
     std::uint64_t baseVersion = 0; ///< Update and Delete take effect only if the object has this version.
     Json::Value spec;              ///< New value, for Create and Update.
-    bool allowStale = false;       ///< List: the reply may be seconds old, which costs a tenth of a call.
+    bool mayBeStale = false;       ///< List: the reply may be seconds old, which costs a tenth of a call.
 };
 
 /// The verdict describes a write: NotRun if it has not taken effect and never will, Ran if it has taken effect, MayHaveRun if
--- a/packages/state/src/platform.cpp
+++ b/packages/state/src/platform.cpp
@@ -74,7 +74,7 @@
 PlatformCall staleListCall(std::string kind)
 {
     PlatformCall call = listCall(std::move(kind));
-    call.allowStale = true;
+    call.mayBeStale = true;
     return call;
 }
 
