Log the shared parts of failed attempts and whether a token had come

The logs could not tell a fault of the prompts from any other crash: nothing named the parts of the requests that were in flight. attempt_failed has two more fields, awaits_first_token and parts. No logic is changed.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -59,6 +59,16 @@
     });
 }
 
+/// The parts that other requests may have in common with this one, separated by commas.
+std::string sharedPartIds(std::span<const PromptPart> parts)
+{
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        ids.append(i == 0 ? "" : ",").append(parts[i].id);
+    }
+    return ids;
+}
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -526,7 +536,9 @@
                { "verdict", verdict },
                { "after_ms", (now - attempt_->startedAt) / MicrosPerMilli },
                { "kept_connection", attempt_->call->usedIdleConnection() },
-               { "sent", attemptsSent_ } });
+               { "sent", attemptsSent_ },
+               { "awaits_first_token", attempt_->prefillPending },
+               { "parts", sharedPartIds(request_.parts) } });
     options_.context->metrics->count("carobhall_attempts_failed_total", "reason=\"" + std::string(reason) + "\"");
     verdict_ = combine(verdict_, verdict);
     attempt_->call->cancel();
