Attribute crashes of servers to the features that requests share

Callers saw streams cut and 502s for as long as requests with one prompt part came, because a server crashed about once a second.

Cause: crashes were attributed to whole requests (path, caller, body), and no two of these requests are alike; and a crash was known only when the platform's list dropped the process, 2.6 s later. Evidence: attempt_failed shows one part awaiting its first token at each crash and never getting one; crashes_upstreams was never the outcome of a request.

Change: a request has features, its fingerprint and the parts of its prompt except the last. A crash counts against the features that were in flight without a sound run since; a feature is blocked after two independent crashes. A sound run disproves the crashes of its features everywhere. Where several features were in flight at the same crashes, only a request that has all of them is refused, so that a request with one of them shows which it is; crashes that a stronger feature accounts for do not count. A gateway whose connection breaks tries to connect again and takes a refused connection for a crash. Gateways send their evidence to each sidecar that they connect to, so that it outlives their restarts. A trial, ever more seldom, ends a false suspicion.

Tests: poison_request_detector_test.cpp is adapted to features. gatewaysConvergeRegardlessOfTheOrderOfFacts expected each fingerprint with two crashes to be blocked; crashes now count only where no other feature accounts for them, so its expectation is computed by that rule, for every gateway as before, and its crashes happen at different times, because simultaneous ones count as one.

--- a/packages/gateway/include/carobhall/poison_request_detector.h
+++ b/packages/gateway/include/carobhall/poison_request_detector.h
@@ -1,29 +1,47 @@
 #pragma once
 
-// Detects poison requests: requests that crash every upstream that runs them. They are refused at all gateways.
+// Detects requests that crash every upstream that runs them, by the features that they have in common: a part of the prompt, or the request as a
+// whole. They are refused at all gateways; requests that share only other features with them are not.
 //
-//     PoisonRequestDetector detector;
-//     if (detector.isBlocked(fingerprint, now)) { ... refuse the request as not run ... }
-//     detector.noteConnectionLost(process, fingerprint, now); // while the upstream may have been running the request
-//     detector.noteProcessCrashed(process, now);              // the platform's list no longer shows the process
-//     detector.noteCompleted(fingerprint, now);
-//     send(detector.takeNewFacts(now)); detector.merge(facts, now);
+//     PoisonRequestDetector detector(seed);
+//     const std::vector<RequestFeature> features = requestFeatures(identity, parts);
+//     if (!detector.admit(features, now)) { ... refuse the request as not run ... }
+//     detector.noteConnectionLost(process, features, sentAt, now);
+//     detector.noteProcessCrashed(process, now); // it refuses connections, or the platform's list no longer shows it
+//     detector.noteSound(features, now);         // the request has run without a crash
+//     send(detector.takeNews(now)); detector.merge(news, now);
 //
-// A lost connection alone proves nothing, because faulty servers reset connections too. It counts only once the platform's list
-// shows that the process has ended. A request is blocked after it was in flight at two crashes and did not complete in between.
+// A lost connection alone proves nothing, because faulty servers reset connections too. It counts once its process is known to have ended.
+// A feature is suspected after crashes at two different times without a sound run since (crash_evidence.h). Of the features
+// that were in flight at the same crashes, any may be the cause: a request is refused only if it has all of them, and a request
+// that has some of them shows which one it is. Crashes that a feature with more crashes accounts for do not count against another one.
+//
+// A suspicion may be wrong. After a time that grows with the number of crashes a gateway admits one request as a trial; a sound run clears
+// its features at all gateways.
 //
 // Decision logic only: no I/O, and the caller passes the time.
 
-#include "carobhall/suspects.h"
+#include "carobhall/crash_evidence.h"
+#include "carobhall/prefix_cache_index.h"
 
 #include <string_view>
 
 namespace Carobhall
 {
 
-/// Hash of the path, the caller's API key and the body. All attempts of a request have the same fingerprint, because it does not
-/// include the id of the attempt. Thread-safe.
-[[nodiscard]] std::uint64_t requestFingerprint(std::string_view target, std::string_view apiKey, std::string_view body);
+/// Identifies a request as a whole. All attempts of a request have the same identity, because it does not include the id of the attempt.
+struct RequestIdentity {
+    std::string_view target{};
+    std::string_view apiKey{};
+    std::string_view body{};
+};
+
+/// Hash of the identity. Thread-safe.
+[[nodiscard]] RequestFeature requestFingerprint(const RequestIdentity &identity);
+
+/// The features of a request: its fingerprint, and those parts of its prompt that other requests may share, which are all but the last. A part
+/// counts per \p model. Thread-safe.
+[[nodiscard]] std::vector<RequestFeature> requestFeatures(const RequestIdentity &identity, std::string_view model, std::span<const PromptPart> parts);
 
 /// Identifies one process of the upstream \p id. Thread-safe.
 [[nodiscard]] Incarnation upstreamIncarnation(std::string_view id, std::int64_t startedAtMs);
@@ -32,21 +50,29 @@
 class PoisonRequestDetector
 {
 public:
-    PoisonRequestDetector();
+    /// \p seed spreads the trials of the gateways over time.
+    explicit PoisonRequestDetector(std::uint64_t seed = 1);
 
-    /// Whether the request must not be sent to any upstream.
-    [[nodiscard]] bool isBlocked(std::uint64_t fingerprint, Micros now) const;
-    /// True when no request is suspected; the caller need not compute a fingerprint then.
+    /// Whether a request with \p features may be sent to an upstream. True for a blocked request if it is due as a trial.
+    [[nodiscard]] bool admit(std::span<const RequestFeature> features, Micros now);
+    /// Whether a request with \p features is refused apart from trials.
+    [[nodiscard]] bool isBlocked(std::span<const RequestFeature> features) const;
+    /// True while nothing is suspected; the caller need not compute features for admit() then.
     [[nodiscard]] bool isEmpty() const;
 
-    void noteConnectionLost(Incarnation process, std::uint64_t fingerprint, Micros now);
+    /// The connection to \p process on which a request was sent at \p sentAt broke while the process may have been running it.
+    void noteConnectionLost(Incarnation process, std::span<const RequestFeature> features, Micros sentAt, Micros now);
     void noteProcessCrashed(Incarnation process, Micros now);
-    void noteCompleted(std::uint64_t fingerprint, Micros now);
+    void noteSound(std::span<const RequestFeature> features, Micros now);
 
-    /// Facts that this process has learned itself since the last call, to send to the other gateways.
-    [[nodiscard]] std::vector<SuspectFact> takeNewFacts(Micros now);
-    /// Adds facts from other gateways.
-    void merge(std::span<const SuspectFact> facts, Micros now);
+    /// What this process has learned itself since the last call, for the other gateways.
+    [[nodiscard]] CrashEvidence takeNews(Micros now);
+    /// All that is known, for a peer that has just connected.
+    [[nodiscard]] CrashEvidence all(Micros now) const;
+    /// Adds evidence from other gateways.
+    void merge(const CrashEvidence &evidence, Micros now);
+    /// The number of gateways that share the evidence.
+    void setGatewayCount(std::uint32_t count);
     /// Removes expired entries. Call every few seconds.
     void expire(Micros now);
 
@@ -54,20 +80,40 @@
     /// How long after a lost connection the end of its process counts as a crash caused by the request. The list shows the end
     /// after three missed reports of 1.2 s, and later while the platform is slow.
     static constexpr Micros CrashConfirmationTimeout = 10 * MicrosPerSecond;
-    /// How long a poison request is blocked. Each expiry costs two servers again, but a harmless request that was in flight at two
-    /// crashes is refused for this time, too.
-    static constexpr Micros BlockDuration = 120 * MicrosPerSecond;
+    /// Crashes closer to each other than this count as one, because a fault of the installation may end several upstreams at once, unless the
+    /// later request was sent after the earlier crash.
+    static constexpr Micros MinCrashSpacing = 250 * MicrosPerMilli;
+    static constexpr std::size_t MinCrashes = 2;
     static constexpr std::size_t MaxLostRequestsPerProcess = 128; ///< Somewhat more than the slots of a server.
+    /// Time from the last crash to a trial, after two, three and four crashes; it doubles with each further one. The more crashes, the less
+    /// likely is an accident, and each trial may cost an upstream.
+    static constexpr std::array FirstTrialDelays{ 5 * MicrosPerSecond, 15 * MicrosPerSecond, 30 * MicrosPerSecond };
+    static constexpr Micros MaxTrialDelay = 3'600 * MicrosPerSecond;
+    /// The trials of this many gateways are spread over one delay. A trial shows its result within half a second.
+    static constexpr std::uint32_t GatewaysPerTrialDelay = 6;
 
     /// A request that was in flight on a connection that broke.
     struct LostRequest {
-        std::uint64_t fingerprint = 0;
+        std::vector<RequestFeature> features{};
+        Micros sentAt = 0;
         Micros lostAt = 0;
     };
+    struct PendingProcess {
+        std::vector<LostRequest> requests{};
+        bool crashed = false; ///< Requests that are reported lost from now on count at once.
+        Micros changedAt = 0;
+    };
+
+    /// The number of crashes for which \p feature, which is one of \p features, blocks a request with these; 0: it does not.
+    [[nodiscard]] std::size_t countAgainst(RequestFeature feature, std::span<const RequestFeature> features) const;
+    [[nodiscard]] Micros trialDueAt(RequestFeature feature, std::size_t crashCount) const;
+    void recordCrash(Incarnation process, const LostRequest &lost);
 
-    Suspects suspects_;
-    std::vector<SuspectFact> newFacts_;                                      ///< Own facts that takeNewFacts() has not returned yet.
-    std::unordered_map<Incarnation, std::vector<LostRequest>> lostRequests_; ///< By the process that may have been running them.
+    std::uint64_t seed_;
+    std::uint32_t gatewayCount_ = 1;
+    CrashEvidenceTable evidence_;
+    std::unordered_map<Incarnation, PendingProcess> lostRequests_; ///< By the process that may have been running them.
+    std::unordered_map<RequestFeature, Micros> lastTrials_;        ///< When this gateway last admitted a trial.
 };
 
 } // namespace Carobhall
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -36,6 +36,9 @@
 /// estimate.
 constexpr double NormalTargetShare = 0.5;
 
+/// A stream that lasts this long has not crashed its server: a prompt that does so crashes it when the answer begins.
+constexpr Micros SoundStreamTime = 500 * MicrosPerMilli;
+
 /// A response that is not streamed is kept until it is complete. A longer one is not forwarded: it may have no end, and a gateway has 88 MB.
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t{ 4 } << 20U;
 
@@ -126,7 +129,7 @@
         refuse(503, "stopping", RetryAfterRejected);
         return;
     }
-    if (PoisonRequestDetector &poisonRequests = *options_.context->poisonRequests; !poisonRequests.isEmpty() && poisonRequests.isBlocked(fingerprint(), now)) {
+    if (isPoison(now)) {
         refuse(503, "crashes_upstreams", RetryAfterCrashes);
         return;
     }
@@ -146,9 +149,25 @@
     attempt();
 }
 
-std::uint64_t Exchange::fingerprint() const
+std::span<const RequestFeature> Exchange::features()
+{
+    if (features_.empty()) {
+        features_ = requestFeatures({ .target = options_.head.target, .apiKey = request_.apiKey, .body = options_.body }, request_.model, request_.parts);
+    }
+    return features_;
+}
+
+bool Exchange::isPoison(Micros now)
 {
-    return requestFingerprint(options_.head.target, request_.apiKey, options_.body);
+    PoisonRequestDetector &poisonRequests = *options_.context->poisonRequests;
+    return !poisonRequests.isEmpty() && !poisonRequests.admit(features(), now);
+}
+
+void Exchange::noteSound(Micros now)
+{
+    if (!std::exchange(isSound_, true)) {
+        options_.context->poisonRequests->noteSound(features(), now);
+    }
 }
 
 std::string Exchange::chooseService() const
@@ -236,6 +255,10 @@
         onDeadline();
         return;
     }
+    if (!tried_.empty() && isPoison(now)) {
+        giveUp("crashes_upstreams", RetryAfterCrashes);
+        return;
+    }
     auto planned = planAttempt(tried_, now);
     if (const auto *const none = std::get_if<NoAttempt>(&planned)) {
         giveUp(none->reason, none->retryAfter);
@@ -444,6 +467,9 @@
     if (out.empty()) {
         return;
     }
+    if (firstEventAt_ > 0 && now - firstEventAt_ >= SoundStreamTime) {
+        noteSound(now);
+    }
     if (!options_.caller->hasStartedStream()) {
         firstEventAt_ = now;
         options_.context->metrics->observe("carobhall_first_event_seconds", "route=\"" + route_->name + "\"", now - arrivedAt_);
@@ -464,8 +490,7 @@
         return;
     }
     if (end == CallEnd::Broken) {
-        const UpstreamRecord &record = attempt_->upstream->record;
-        options_.context->poisonRequests->noteConnectionLost(upstreamIncarnation(record.id, record.startedAtMs), fingerprint(), monotonicNow());
+        noteConnectionLost();
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "broken_response");
         return;
     }
@@ -511,6 +536,18 @@
     deliverResponse();
 }
 
+void Exchange::noteConnectionLost()
+{
+    const Upstream &upstream = *attempt_->upstream;
+    if (isSound_ || !upstream.present || upstream.record.draining) {
+        // A request that has run for a while is not the cause, and a leaving process ends without a crash.
+        return;
+    }
+    options_.context->poisonRequests->noteConnectionLost(upstreamIncarnation(upstream.record.id, upstream.record.startedAtMs), features(), attempt_->startedAt,
+                                                         monotonicNow());
+    options_.context->onConnectionLost(attempt_->upstream);
+}
+
 void Exchange::onStreamEnd()
 {
     if (!options_.caller->hasStartedStream() || events_.hasPartialEvent()) {
@@ -674,8 +711,8 @@
     deadlineTimer_.stop();
     inactivityTimer_.stop();
     const Micros now = monotonicNow();
-    if (PoisonRequestDetector &poisonRequests = *options_.context->poisonRequests; verdict_ == Verdict::Ran && !poisonRequests.isEmpty()) {
-        poisonRequests.noteCompleted(fingerprint(), now);
+    if (verdict_ == Verdict::Ran) {
+        noteSound(now);
     }
     const std::string route = route_ != nullptr ? route_->name : std::string("-");
     logEvent(LogLevel::Info, "request_done",
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -20,7 +20,8 @@
     PoisonRequestDetector *poisonRequests = nullptr;
     Metrics *metrics = nullptr;
     const ExchangeCodec *codec = nullptr;
-    std::function<void(Upstream &)> onPrefillQueued{}; ///< A prompt was sent to a model server and awaits prefill.
+    std::function<void(Upstream &)> onPrefillQueued{};           ///< A prompt was sent to a model server and awaits prefill.
+    std::function<void(const UpstreamRef &)> onConnectionLost{}; ///< A connection broke while the upstream may have been running a request.
     std::mt19937_64 *random = nullptr;
 };
 
@@ -106,7 +107,14 @@
     void finish(unsigned status, std::string_view outcome);
     /// The longest time to the first token at which more urgent routes of the same service still meet their targets.
     [[nodiscard]] Micros waitLimitForUrgentRoutes() const;
-    [[nodiscard]] std::uint64_t fingerprint() const;
+    /// By what requests that crash upstreams are recognised.
+    [[nodiscard]] std::span<const RequestFeature> features();
+    /// Whether earlier requests with the same features crashed upstreams.
+    [[nodiscard]] bool isPoison(Micros now);
+    /// The request has run without a crash.
+    void noteSound(Micros now);
+    /// The connection of attempt_ broke while the upstream may have been running the request.
+    void noteConnectionLost();
     [[nodiscard]] Micros retryDelay(Micros base) const;
     /// Headers of an upstream's response that are forwarded to the caller.
     [[nodiscard]] std::vector<HeaderField> forwardedFields(const ResponseHead &head) const;
@@ -128,7 +136,9 @@
     EventSplitter events_;
     std::string lastEventId_;
     Micros firstEventAt_ = 0;
-    std::string body_; ///< Body of a response that is not streamed.
+    std::string body_;                     ///< Body of a response that is not streamed.
+    std::vector<RequestFeature> features_; ///< Computed by features().
+    bool isSound_ = false;                 ///< noteSound() was called.
     bool finished_ = false;
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/gateway.h"
 
+#include "crash_probe.h"
 #include "exchange.h"
 #include "sidecar_links.h"
 
@@ -57,6 +58,9 @@
     /// Reports a crash of the known process of upstream \p id if it was not draining and the list now contains a process with another
     /// start time \p startedAtMs (0: the entry was removed).
     void noteIfCrashed(const std::string &id, std::int64_t startedAtMs, Micros now);
+    void noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now);
+    /// Sends what this gateway has learned of requests that crash upstreams to the others.
+    void shareCrashEvidence(Micros now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool refusesRequests(Micros now) const;
     [[nodiscard]] bool refusesStreams(Micros now) const;
@@ -70,6 +74,7 @@
     UpstreamPool pool;
     RetryBudget retries;
     PoisonRequestDetector poisonRequests;
+    CrashProbe crashProbe;
     ExchangeContext context;
     std::shared_ptr<const RouteTable> routes;
     ChannelListener listener;
@@ -98,6 +103,8 @@
     , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline)
     , pool({})
     , retries({ .ratio = options.settings.retryRatio, .allowance = options.settings.retryAllowance, .window = options.settings.retryWindow })
+    , poisonRequests(random())
+    , crashProbe([this](const Upstream &upstream) { noteCrashed(upstream.record, "refused", monotonicNow()); })
     , context({ .upstreams = &upstreams,
                 .pool = &pool,
                 .retries = &retries,
@@ -105,6 +112,7 @@
                 .metrics = &metrics,
                 .codec = &options.codec,
                 .onPrefillQueued = [this](Upstream &engine) { links->reportPendingPrefill(engine); },
+                .onConnectionLost = [this](const UpstreamRef &upstream) { crashProbe.start(upstream, monotonicNow()); },
                 .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
@@ -171,11 +179,13 @@
         .onGatewayCount =
             [this](std::uint32_t count) {
                 retries.setGatewayCount(count);
+                poisonRequests.setGatewayCount(count);
                 if (options.onFleetSize) {
                     options.onFleetSize(count);
                 }
             },
-        .onSuspects = [this](const std::vector<SuspectFact> &facts) { poisonRequests.merge(facts, monotonicNow()); },
+        .crashEvidence = [this] { return poisonRequests.all(monotonicNow()); },
+        .onCrashEvidence = [this](const CrashEvidence &evidence) { poisonRequests.merge(evidence, monotonicNow()); },
     });
     ticker.startRepeating(TickInterval, [this] { tick(); });
     tick();
@@ -197,11 +207,9 @@
     if (cacheStoreFeed) {
         cacheStoreFeed->tick(now);
     }
-    if (std::vector<SuspectFact> facts = poisonRequests.takeNewFacts(now); !facts.empty()) {
-        logEvent(LogLevel::Info, "requests_suspected", { { "count", facts.size() }, { "first", facts.front().fingerprint } });
-        links->broadcastSuspects(std::move(facts));
-    }
+    shareCrashEvidence(now);
     poisonRequests.expire(now);
+    crashProbe.expire(now);
     pool.expire(now);
     // Iterates over a copy, because a timeout removes the connection from `callers`.
     const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
@@ -402,8 +410,29 @@
     }
     const UpstreamRecord &known = found->second->record;
     if (!known.draining && known.startedAtMs != startedAtMs) {
-        poisonRequests.noteProcessCrashed(upstreamIncarnation(id, known.startedAtMs), now);
+        noteCrashed(known, "list", now);
+    }
+}
+
+void Gateway::Impl::noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now)
+{
+    logEvent(LogLevel::Info, "upstream_crashed", { { "upstream", record.id }, { "address", record.address }, { "evidence", evidence } });
+    poisonRequests.noteProcessCrashed(upstreamIncarnation(record.id, record.startedAtMs), now);
+    shareCrashEvidence(now);
+}
+
+void Gateway::Impl::shareCrashEvidence(Micros now)
+{
+    const CrashEvidence news = poisonRequests.takeNews(now);
+    if (news.crashes.empty() && news.sound.empty()) {
+        return;
     }
+    logEvent(LogLevel::Info, "crash_evidence",
+             { { "suspected", news.crashes.size() },
+               { "first_suspected", news.crashes.empty() ? std::string("-") : toHex(news.crashes.front().feature) },
+               { "cleared", news.sound.size() },
+               { "first_cleared", news.sound.empty() ? std::string("-") : toHex(news.sound.front().feature) } });
+    links->broadcast(news);
 }
 
 void Gateway::Impl::onReadiness(SoupServer * /*server*/, SoupServerMessage *message, const char *path, GHashTable * /*query*/, gpointer self)
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -24,6 +24,10 @@
                               }
                               logEvent(LogLevel::Info, "sidecar_connected", { { "ip", found->second }, { "peer", peer.name } });
                               endpoint_.send(connection, knownVersions());
+                              // The sidecar may have restarted and would have nothing to pass on to a gateway that starts.
+                              if (const CrashEvidence evidence = options_.crashEvidence(); !evidence.crashes.empty()) {
+                                  endpoint_.send(connection, evidence);
+                              }
                           }
                       },
                   .onMessage = [this](ConnectionId connection, Message message) { onMessage(connection, std::move(message)); },
@@ -116,13 +120,12 @@
     }
 }
 
-void SidecarLinks::broadcastSuspects(std::vector<SuspectFact> facts)
+void SidecarLinks::broadcast(const CrashEvidence &evidence)
 {
     std::size_t relayCount = 0;
-    const SuspectUpdate update{ .facts = std::move(facts) };
     for (const auto &[ip, link] : links_) {
         if (link.open && relayCount < MaxRelays) {
-            endpoint_.send(link.connection, update);
+            endpoint_.send(link.connection, evidence);
             ++relayCount;
         }
     }
@@ -174,8 +177,8 @@
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         endpoint_.send(connection, ConfigData{ .version = options_.configurationVersion(), .digest = {}, .text = options_.configurationText() });
-    } else if (const auto *const suspects = std::get_if<SuspectUpdate>(&message)) {
-        options_.onSuspects(suspects->facts);
+    } else if (const auto *const evidence = std::get_if<CrashEvidence>(&message)) {
+        options_.onCrashEvidence(*evidence);
     } else if (auto *const data = std::get_if<ConfigData>(&message)) {
         options_.onConfiguration(std::move(data->text));
     }
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -20,9 +20,10 @@
     std::function<std::uint64_t()> configurationVersion{};
     std::function<std::string()> configurationText{};
     std::function<bool()> platformAvailable{};
-    std::function<void(std::string text)> onConfiguration{};                 ///< A peer sent a configuration.
-    std::function<void(std::uint32_t count)> onGatewayCount{};               ///< A sidecar reported the number of connected gateways.
-    std::function<void(const std::vector<SuspectFact> &facts)> onSuspects{}; ///< Other gateways reported requests that crash upstreams.
+    std::function<void(std::string text)> onConfiguration{};              ///< A peer sent a configuration.
+    std::function<void(std::uint32_t count)> onGatewayCount{};            ///< A sidecar reported the number of connected gateways.
+    std::function<CrashEvidence()> crashEvidence{};                       ///< All that this gateway knows of requests that crash upstreams.
+    std::function<void(const CrashEvidence &evidence)> onCrashEvidence{}; ///< Other gateways reported such requests.
 };
 
 /// Not thread-safe.
@@ -39,8 +40,8 @@
     void reportPendingPrefill(Upstream &engine);
     /// Sends the known versions of configuration and weights to all sidecars.
     void announceVersions();
-    /// Sends \p facts to a few sidecars, which forward them to all gateways.
-    void broadcastSuspects(std::vector<SuspectFact> facts);
+    /// Sends \p evidence to a few sidecars, which forward it to all gateways.
+    void broadcast(const CrashEvidence &evidence);
     [[nodiscard]] std::size_t openCount() const;
 
 private:
@@ -48,7 +49,7 @@
     static constexpr Micros InactivityTimeout = 2500 * MicrosPerMilli;
     /// Minimum change of the pending prefill tokens that is reported. An engine prefills this many in 24 ms.
     static constexpr std::uint64_t MinReportedTokenChange = 1'000;
-    /// Number of sidecars that forward facts to the gateways. All gateways use the same ones; more than one in case one is down.
+    /// Number of sidecars that forward crash evidence to the gateways. All gateways use the same ones; more than one in case one is down.
     static constexpr std::size_t MaxRelays = 3;
     /// How long to wait for the platform to deliver a configuration before it is requested from a peer. The platform answers watches
     /// every 200 ms.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -1,8 +1,8 @@
 #include "carobhall/sidecar.h"
 
 #include "carobhall/config_pull_scheduler.h"
+#include "carobhall/crash_evidence.h"
 #include "carobhall/status_pacing.h"
-#include "carobhall/suspects.h"
 
 #include <algorithm>
 #include <set>
@@ -69,7 +69,7 @@
     std::uint64_t announcedVersion = 0; ///< Newest version announced; passed to the rollout once its wave is computed.
     std::uint64_t configVersion = 0;
     std::string configText;
-    Suspects suspects; ///< Requests that crash upstreams; relayed between the gateways.
+    CrashEvidenceTable crashEvidence; ///< Of requests that crash upstreams; relayed between the gateways.
     Timer tickTimer;
     Timer stopTimer;
 };
@@ -311,17 +311,14 @@
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         endpoint.send(connection, ConfigData{ .version = configVersion, .digest = {}, .text = configText });
-    } else if (const auto *const suspectNews = std::get_if<SuspectUpdate>(&message)) {
+    } else if (const auto *const evidence = std::get_if<CrashEvidence>(&message)) {
         const Micros now = monotonicNow();
-        for (const SuspectFact &fact : suspectNews->facts) {
-            suspects.merge(fact, now);
-        }
-        suspects.expire(now);
-        if (const SuspectUpdate changed{ .facts = suspects.takeChanged(now) }; !changed.facts.empty()) {
+        crashEvidence.merge(*evidence, now);
+        crashEvidence.expire(now);
+        if (const CrashEvidence news = crashEvidence.takeNews(now); !news.crashes.empty() || !news.sound.empty()) {
+            // Also to the sender, which may not know of a sound run.
             for (const auto &[gateway, pendingPrefill] : gateways) {
-                if (gateway != connection) {
-                    endpoint.send(gateway, changed);
-                }
+                endpoint.send(gateway, news);
             }
         }
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
@@ -392,8 +389,8 @@
     }
     endpoint.send(connection, message);
     endpoint.send(connection, knownVersions());
-    if (const SuspectUpdate suspected{ .facts = suspects.facts(monotonicNow()) }; !suspected.facts.empty()) {
-        endpoint.send(connection, suspected);
+    if (const CrashEvidence evidence = crashEvidence.all(monotonicNow()); !evidence.crashes.empty()) {
+        endpoint.send(connection, evidence);
     }
 }
 
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -13,7 +13,7 @@
 //   4. Account limits   GrantRequest, Grant
 //   5. State dump       DumpRequest, DumpReply
 //   6. Engines          EngineStatus, KnownVersions, PendingPrefill
-//   7. Suspects         SuspectFact, SuspectUpdate
+//   7. Suspects         SuspectFact, CrashRecord, SoundRecord, CrashEvidence
 //   8. Codec            encode(), decode()
 
 #include "carobhall/base.h"
@@ -346,18 +346,45 @@
     MSGPACK_DEFINE(fingerprint, episode, firstEngine, secondEngine, exclusiveRunStarted, exclusiveRunCrashed, exonerated, age)
 };
 
-/// Facts that are new to the sender. Sidecars forward them to the gateways.
+/// No longer sent; kept because the position of a message in Message is its type number.
 struct SuspectUpdate {
     std::vector<SuspectFact> facts;
 
     MSGPACK_DEFINE(facts)
 };
 
+/// A process crashed while a request with the feature was in flight. Ages in place of points in time, because clocks of different
+/// processes are not comparable.
+struct CrashRecord {
+    std::uint64_t feature = 0;
+    Incarnation process = 0;
+    Micros age = 0;        ///< Since the connection broke.
+    Micros timeToLoss = 0; ///< From the sending of the request until then.
+
+    MSGPACK_DEFINE(feature, process, age, timeToLoss)
+};
+
+/// A request with the feature ran without a crash.
+struct SoundRecord {
+    std::uint64_t feature = 0;
+    Micros age = 0;
+
+    MSGPACK_DEFINE(feature, age)
+};
+
+/// Evidence that is new to the sender, or all of it on a new connection. Sidecars forward what is new to them to the gateways.
+struct CrashEvidence {
+    std::vector<CrashRecord> crashes;
+    std::vector<SoundRecord> sound;
+
+    MSGPACK_DEFINE(crashes, sound)
+};
+
 // 8. Codec ----------------------------------------------------------------------------------------
 
 /// All messages. The index of an alternative is its type number on the wire, so new messages must be appended to the end.
 using Message = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantRequest, Grant,
-                             DumpRequest, DumpReply, EngineStatus, KnownVersions, PendingPrefill, SuspectUpdate>;
+                             DumpRequest, DumpReply, EngineStatus, KnownVersions, PendingPrefill, SuspectUpdate, CrashEvidence>;
 
 /// Encodes \p message. Thread-safe.
 [[nodiscard]] std::string encode(const Message &message);
