--- a/packages/gateway/tests/poison_request_detector_test.cpp
+++ b/packages/gateway/tests/poison_request_detector_test.cpp
@@ -112,10 +112,10 @@
                 // common with this one.
                 std::set<Incarnation> against = processes;
                 bool hasTwin = false;
-                for (const auto &[other, others] : crashes) {
-                    hasTwin = hasTwin || (other != fingerprint && others == processes);
-                    if (others.size() > processes.size()) {
-                        std::erase_if(against, [&](Incarnation process) { return others.contains(process); });
+                for (const auto &other : crashes) {
+                    hasTwin = hasTwin || (other.first != fingerprint && other.second == processes);
+                    if (other.second.size() > processes.size()) {
+                        std::erase_if(against, [&](Incarnation process) { return other.second.contains(process); });
                     }
                 }
                 RC_ASSERT(gateway.isBlocked(Features{ fingerprint }) == (against.size() >= 2 && !hasTwin));
