Decode and log the limits that upstreams name

Nothing in the logs named a limit. The header is decoded, and upstream_limit_named is logged when an upstream's answers begin to name a limit, name another one or name none. No logic is changed.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -60,9 +60,10 @@
     std::uint64_t reportedPrefillTokens = 0;  ///< Value of pendingPrefillTokens last sent to the sidecar.
     std::uint64_t unreportedMemoryTokens = 0; ///< KV cache memory of requests sent since `load` was reported.
     std::uint32_t consecutiveFailures = 0;
-    Micros avoidUntil = 0;     ///< Until then the upstream is chosen only if no other one is available.
-    double failureShare = 0.0; ///< Moving average over responses, 0 to 1.
-    double latency = 0.0;      ///< Moving average of response times in microseconds.
+    Micros avoidUntil = 0;              ///< Until then the upstream is chosen only if no other one is available.
+    double failureShare = 0.0;          ///< Moving average over responses, 0 to 1.
+    double latency = 0.0;               ///< Moving average of response times in microseconds.
+    std::optional<double> namedLimit{}; ///< Requests a second from all gateways together, as its last answer to this process named it.
 
     [[nodiscard]] std::uint64_t weightsVersion() const
     {
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -423,6 +423,14 @@
     if (response.weightsVersion && attempt_->choice.upstream && isSuccess(head.status)) {
         attempt_->upstream->record.weightsVersion = std::max(attempt_->upstream->record.weightsVersion, *response.weightsVersion);
     }
+    if (std::optional<double> &named = attempt_->upstream->namedLimit; named != response.requestsPerSecond) {
+        logEvent(LogLevel::Info, "upstream_limit_named",
+                 { { "upstream", attempt_->upstream->record.id },
+                   { "requests_per_s", response.requestsPerSecond.value_or(-1.0) },
+                   { "before", named.value_or(-1.0) },
+                   { "id", request_.id } });
+        named = response.requestsPerSecond;
+    }
 }
 
 void Exchange::onBody()
