Keep the features that crash servers in the store

What was learned of a deadly part was lost when all gateways and sidecars restarted together, and was not shared in an installation without sidecars: each gateway lost servers of its own to learn it.

Change: a feature that blocks by itself is written to the platform's store as one object by the gateways that saw one of its crashes, and deleted after a sound run. A gateway reads these objects at its start, and watches them only while it has no link to a sidecar.

Cost: one more call of the store a gateway at its start, one write a blocked feature.

Ruled out: a watch by every gateway all the time (a call every 3 to 12 s each, priced) where sidecars pass the evidence on anyway.

--- a/packages/gateway/include/carobhall/crash_evidence.h
+++ b/packages/gateway/include/carobhall/crash_evidence.h
@@ -52,6 +52,8 @@
     /// All crashes, for a process that has just connected.
     [[nodiscard]] CrashEvidence all(Micros now) const;
 
+    /// The crashes of \p feature.
+    [[nodiscard]] CrashEvidence of(RequestFeature feature, Micros now) const;
     /// The crashes of \p feature since its last sound run, in ascending order of processes.
     [[nodiscard]] std::span<const Crash> crashesOf(RequestFeature feature) const;
     /// Calls \p visit with each feature that has crashes, and these.
--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -14,6 +14,7 @@
 //   3. Gateway
 
 #include "carobhall/cache_feed.h"
+#include "carobhall/crash_evidence.h"
 #include "carobhall/exchange_codec.h"
 #include "carobhall/gateway_config.h"
 #include "carobhall/platform.h"
@@ -54,6 +55,7 @@
     std::string configName{};
     std::string upstreamKind{};
     std::string weightsKind{};
+    std::string crashEvidenceKind{}; ///< Written by the gateways; one object per feature of requests that crash upstreams.
     std::string readinessPath{};
     /// Returns nothing when the object is not a valid configuration.
     std::optional<GatewayConfig> (*decodeConfig)(const Json::Value &spec) = nullptr;
@@ -61,6 +63,9 @@
     std::optional<UpstreamRecord> (*decodeUpstream)(const PlatformObject &object) = nullptr;
     /// The model and its current version from an object of weightsKind.
     std::optional<std::pair<std::string, std::uint64_t>> (*decodeWeights)(const PlatformObject &object) = nullptr;
+    Json::Value (*encodeCrashEvidence)(const CrashEvidence &evidence) = nullptr;
+    /// Returns nothing when the object is malformed.
+    std::optional<CrashEvidence> (*decodeCrashEvidence)(const PlatformObject &object) = nullptr;
 };
 
 // 3. Gateway --------------------------------------------------------------------------------------
--- a/packages/gateway/include/carobhall/poison_request_detector.h
+++ b/packages/gateway/include/carobhall/poison_request_detector.h
@@ -25,6 +25,7 @@
 #include "carobhall/prefix_cache_index.h"
 
 #include <string_view>
+#include <unordered_set>
 
 namespace Carobhall
 {
@@ -65,6 +66,10 @@
     void noteProcessCrashed(Incarnation process, Micros now);
     void noteSound(std::span<const RequestFeature> features, Micros now);
 
+    /// The features that block every request that has them, of those that were in flight at a crash seen by this process.
+    [[nodiscard]] std::vector<RequestFeature> ownBlockedFeatures() const;
+    /// The crashes of \p feature.
+    [[nodiscard]] CrashEvidence evidenceOf(RequestFeature feature, Micros now) const;
     /// What this process has learned itself since the last call, for the other gateways.
     [[nodiscard]] CrashEvidence takeNews(Micros now);
     /// All that is known, for a peer that has just connected.
@@ -112,6 +117,7 @@
     std::uint64_t seed_;
     std::uint32_t gatewayCount_ = 1;
     CrashEvidenceTable evidence_;
+    std::unordered_set<RequestFeature> ownSuspects_;               ///< In flight at a crash that this process saw.
     std::unordered_map<Incarnation, PendingProcess> lostRequests_; ///< By the process that may have been running them.
     std::unordered_map<RequestFeature, Micros> lastTrials_;        ///< When this gateway last admitted a trial.
 };
--- a/packages/gateway/src/crash_evidence.cpp
+++ b/packages/gateway/src/crash_evidence.cpp
@@ -128,6 +128,15 @@
     return evidence;
 }
 
+CrashEvidence CrashEvidenceTable::of(RequestFeature feature, Micros now) const
+{
+    CrashEvidence evidence;
+    for (const Crash &crash : crashesOf(feature)) {
+        evidence.crashes.push_back(recordOf(feature, crash, now));
+    }
+    return evidence;
+}
+
 std::span<const CrashEvidenceTable::Crash> CrashEvidenceTable::crashesOf(RequestFeature feature) const
 {
     const auto found = crashes_.find(feature);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "carobhall/gateway.h"
 
+#include "crash_evidence_store.h"
 #include "crash_probe.h"
 #include "exchange.h"
 #include "sidecar_links.h"
@@ -18,6 +19,8 @@
 /// Responses of the KV cache store may cross regions. A long delay collects more events into each of them.
 constexpr Micros StorePollDelay = 200 * MicrosPerMilli;
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Interval of Impl::tick().
+/// Interval at which newly blocked features are looked for. A restart of all processes within less of a crash is a rare accident.
+constexpr Micros EvidenceSaveInterval = 250 * MicrosPerMilli;
 
 /// Minimum time for which connections are accepted after SIGTERM. The platform routes connections to the process until two
 /// readiness checks, a second apart, have failed; in a zone without other gateways even longer.
@@ -61,6 +64,8 @@
     void noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now);
     /// Sends what this gateway has learned of requests that crash upstreams to the others.
     void shareCrashEvidence(Micros now);
+    /// Removes the features that had sound runs from the platform's store.
+    void removeDisproved(const CrashEvidence &evidence);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool refusesRequests(Micros now) const;
     [[nodiscard]] bool refusesStreams(Micros now) const;
@@ -85,6 +90,8 @@
     std::unique_ptr<ObjectWatcher> configWatcher;
     std::unique_ptr<ObjectWatcher> upstreamWatcher;
     std::unique_ptr<SidecarLinks> links;
+    std::unique_ptr<CrashEvidenceStore> crashEvidenceStore;
+    Micros nextEvidenceSaveAt = 0;
     HttpClient http;
     std::unique_ptr<CacheFeed> cacheStoreFeed;
     std::string cacheStoreAddress;
@@ -189,7 +196,16 @@
             },
         .onLimitReports = [this](const LimitReports &reports) { upstreams.limits().merge(reports, monotonicNow()); },
         .crashEvidence = [this] { return poisonRequests.all(monotonicNow()); },
-        .onCrashEvidence = [this](const CrashEvidence &evidence) { poisonRequests.merge(evidence, monotonicNow()); },
+        .onCrashEvidence =
+            [this](const CrashEvidence &evidence) {
+                poisonRequests.merge(evidence, monotonicNow());
+                removeDisproved(evidence);
+            },
+    });
+    crashEvidenceStore = std::make_unique<CrashEvidenceStore>(CrashEvidenceStoreOptions{
+        .platform = options.platform,
+        .codec = &options.objectCodec,
+        .onEvidence = [this](const CrashEvidence &evidence) { poisonRequests.merge(evidence, monotonicNow()); },
     });
     ticker.startRepeating(TickInterval, [this] { tick(); });
     tick();
@@ -212,6 +228,13 @@
         cacheStoreFeed->tick(now);
     }
     shareCrashEvidence(now);
+    crashEvidenceStore->tick(links->openCount() > 0, now);
+    if (!poisonRequests.isEmpty() && now >= nextEvidenceSaveAt) {
+        nextEvidenceSaveAt = now + EvidenceSaveInterval;
+        for (const RequestFeature feature : poisonRequests.ownBlockedFeatures()) {
+            crashEvidenceStore->save(feature, poisonRequests.evidenceOf(feature, now));
+        }
+    }
     if (now >= nextLimitReportAt) {
         nextLimitReportAt = now + LimitReportInterval;
         if (const LimitReport report = upstreams.limits().report(now); !report.entries.empty()) {
@@ -443,6 +466,14 @@
                { "cleared", news.sound.size() },
                { "first_cleared", news.sound.empty() ? std::string("-") : toHex(news.sound.front().feature) } });
     links->broadcast(news);
+    removeDisproved(news);
+}
+
+void Gateway::Impl::removeDisproved(const CrashEvidence &evidence)
+{
+    for (const SoundRecord &record : evidence.sound) {
+        crashEvidenceStore->remove(record.feature);
+    }
 }
 
 void Gateway::Impl::onReadiness(SoupServer * /*server*/, SoupServerMessage *message, const char *path, GHashTable * /*query*/, gpointer self)
--- a/packages/gateway/src/poison_request_detector.cpp
+++ b/packages/gateway/src/poison_request_detector.cpp
@@ -143,6 +143,7 @@
 {
     for (const RequestFeature feature : lost.features) {
         evidence_.addCrash(feature, { .process = process, .sentAt = lost.sentAt, .at = lost.lostAt });
+        ownSuspects_.insert(feature);
     }
 }
 
@@ -176,6 +177,22 @@
     }
 }
 
+std::vector<RequestFeature> PoisonRequestDetector::ownBlockedFeatures() const
+{
+    std::vector<RequestFeature> blocked;
+    for (const RequestFeature feature : ownSuspects_) {
+        if (isBlocked(std::span(&feature, 1))) {
+            blocked.push_back(feature);
+        }
+    }
+    return blocked;
+}
+
+CrashEvidence PoisonRequestDetector::evidenceOf(RequestFeature feature, Micros now) const
+{
+    return evidence_.of(feature, now);
+}
+
 CrashEvidence PoisonRequestDetector::takeNews(Micros now)
 {
     return evidence_.takeOwnNews(now);
@@ -195,6 +212,7 @@
 {
     evidence_.expire(now);
     std::erase_if(lastTrials_, [this](const auto &trial) { return evidence_.crashesOf(trial.first).empty(); });
+    std::erase_if(ownSuspects_, [this](RequestFeature feature) { return evidence_.crashesOf(feature).empty(); });
     for (auto it = lostRequests_.begin(); it != lostRequests_.end();) {
         std::erase_if(it->second.requests, [now](const LostRequest &lost) { return now - lost.lostAt > CrashConfirmationTimeout; });
         it = now - it->second.changedAt > CrashConfirmationTimeout ? lostRequests_.erase(it) : std::next(it);
--- a/packages/gateway/src/upstream_limits.cpp
+++ b/packages/gateway/src/upstream_limits.cpp
@@ -149,7 +149,7 @@
         // Rare requests leave gaps in the average. An equal share is kept for a gateway that has any demand.
         const bool isIdle = now - limited.lastTakeAt > IdleTime;
         const double equalShare = isIdle ? 0.0 : limited.limit.value_or(0.0) / options_.gatewayCount;
-        std::ranges::rotate(limited.reported, limited.reported.end() - 1);
+        std::rotate(limited.reported.begin(), limited.reported.end() - 1, limited.reported.end());
         limited.reported.front() = std::max(limited.demand * DemandHeadroom, equalShare);
         report.entries.push_back({ .process = process,
                                    .limited = limited.limit.has_value(),
