--- a/packages/gateway/include/carobhall/upstream_limits.h
+++ b/packages/gateway/include/carobhall/upstream_limits.h
@@ -5,11 +5,11 @@
 //     UpstreamLimits limits({ .gateway = "front-1", .seed = seed });
 //     limits.noteAnswer(process, answer.requestsPerSecond, now);
 //     if (limits.take(process, now)) { ... send the request ... }
-//     send(limits.report(now)); limits.merge(reports, now);      // report() every ReportInterval
+//     send(limits.report(now)); limits.merge(reports, now);      // report() every LimitReportInterval
 //
 // Each gateway uses a share of the limit; the shares of all add up to the limit. Gateways report how much they want to send; a
-// gateway that wants less than an equal share leaves the rest to the others. A gateway of which nothing was heard for ReportLifetime counts as
-// one that wants all it can get, so that its equal share stays free for it. A gateway uses more than it has reported only when its lower
+// gateway that wants less than an equal share leaves the rest to the others. A gateway of which nothing was heard for
+// LimitReportLifetime counts as one that wants all it can get, so that its equal share stays free for it. A gateway uses more than it has reported only when its lower
 // reports have expired at the others, which therefore hold back at least what it uses, also when it is cut off from them. No share is
 // granted by anybody, and nothing has to be agreed on.
 //
@@ -63,7 +63,7 @@
     static constexpr Micros GatewayCountHold = 60 * MicrosPerSecond;
     /// How long a limit holds without an answer. Permits are given out all the while, so that answers come as long as there is demand.
     static constexpr Micros LimitLifetime = 60 * MicrosPerSecond;
-    /// A limit of 0 could never be lifted, because nobody would get an answer.
+    /// Used for lower limits: one of 0 could never be lifted, because nobody would get an answer.
     static constexpr double MinRequestsPerSecond = 0.2;
     /// Permits that a share may save up, in seconds of its rate, if this is more than one.
     static constexpr double BurstSeconds = 0.25;
