Save up no permits while an upstream names no limit

Cause: a server that stops naming a limit and names it again later was met by gateways whose permits had been refilled for the time between: one of each at once. An answer of another process at the server's address also counted as an answer without a limit.

Change: permits start at a random part of one whenever a limit begins. Answers of other processes are not evidence.

--- a/packages/gateway/include/carobhall/upstream_limits.h
+++ b/packages/gateway/include/carobhall/upstream_limits.h
@@ -95,6 +95,8 @@
     };
 
     Limited &addLimited(Incarnation process, Micros now);
+    /// Sets the limit that the upstream named at \p observedAt, or none.
+    void setLimit(Limited &limited, std::optional<double> requestsPerSecond, Micros observedAt, Micros now);
     [[nodiscard]] double shareOf(const Limited &limited, Micros now) const;
     void refill(Limited &limited, Micros now);
     [[nodiscard]] double drawPermitPart();
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -437,15 +437,23 @@
     if (response.weightsVersion && attempt_->choice.upstream && isSuccess(head.status)) {
         attempt_->upstream->record.weightsVersion = std::max(attempt_->upstream->record.weightsVersion, *response.weightsVersion);
     }
-    if (std::optional<double> &named = attempt_->upstream->namedLimit; named != response.requestsPerSecond) {
+    if (!response.misdirected) {
+        noteNamedLimit(response.requestsPerSecond);
+    }
+}
+
+void Exchange::noteNamedLimit(std::optional<double> requestsPerSecond)
+{
+    Upstream &upstream = *attempt_->upstream;
+    if (upstream.namedLimit != requestsPerSecond) {
         logEvent(LogLevel::Info, "upstream_limit_named",
-                 { { "upstream", attempt_->upstream->record.id },
-                   { "requests_per_s", response.requestsPerSecond.value_or(-1.0) },
-                   { "before", named.value_or(-1.0) },
+                 { { "upstream", upstream.record.id },
+                   { "requests_per_s", requestsPerSecond.value_or(-1.0) },
+                   { "before", upstream.namedLimit.value_or(-1.0) },
                    { "id", request_.id } });
-        named = response.requestsPerSecond;
+        upstream.namedLimit = requestsPerSecond;
     }
-    options_.context->upstreams->limits().noteAnswer(attempt_->upstream->process, response.requestsPerSecond, monotonicNow());
+    options_.context->upstreams->limits().noteAnswer(upstream.process, requestsPerSecond, monotonicNow());
 }
 
 void Exchange::onBody()
@@ -566,8 +574,7 @@
         // A request that has run for a while is not the cause, and a leaving process ends without a crash.
         return;
     }
-    options_.context->poisonRequests->noteConnectionLost(upstreamIncarnation(upstream.record.id, upstream.record.startedAtMs), features(), attempt_->startedAt,
-                                                         monotonicNow());
+    options_.context->poisonRequests->noteConnectionLost(upstream.process, features(), attempt_->startedAt, monotonicNow());
     options_.context->onConnectionLost(attempt_->upstream);
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -87,6 +87,8 @@
     void onInactivity();
     void onDeadline();
     void onHead();
+    /// The upstream of attempt_ has answered and named a limit, or none.
+    void noteNamedLimit(std::optional<double> requestsPerSecond);
     void onBody();
     void onEnd(CallEnd end);
     void forwardEvents();
--- a/packages/gateway/src/upstream_limits.cpp
+++ b/packages/gateway/src/upstream_limits.cpp
@@ -49,8 +49,6 @@
     const auto [found, isNew] = limited_.try_emplace(process);
     if (isNew) {
         found->second.reported.fill(Unknown);
-        found->second.permits = drawPermitPart();
-        found->second.refilledAt = now;
         found->second.lastTakeAt = now;
         found->second.reportedAt = now;
     }
@@ -62,12 +60,20 @@
     if (!requestsPerSecond && !limited_.contains(process)) {
         return;
     }
-    Limited &limited = addLimited(process, now);
+    setLimit(addLimited(process, now), requestsPerSecond, now, now);
+}
+
+void UpstreamLimits::setLimit(Limited &limited, std::optional<double> requestsPerSecond, Micros observedAt, Micros now)
+{
     if (limited.limit) {
         refill(limited, now);
+    } else {
+        // Nothing is saved up from the time without a limit.
+        limited.permits = drawPermitPart();
+        limited.refilledAt = now;
     }
     limited.limit = requestsPerSecond ? std::optional(std::max(MinRequestsPerSecond, *requestsPerSecond)) : std::nullopt;
-    limited.observedAt = now;
+    limited.observedAt = observedAt;
 }
 
 double UpstreamLimits::shareOf(const Limited &limited, Micros now) const
@@ -180,8 +186,7 @@
             }
             Limited &limited = addLimited(entry.process, now);
             if (observedAt > limited.observedAt) {
-                limited.limit = entry.limited ? std::optional(std::max(MinRequestsPerSecond, entry.requestsPerSecond)) : std::nullopt;
-                limited.observedAt = observedAt;
+                setLimit(limited, entry.limited ? std::optional(entry.requestsPerSecond) : std::nullopt, observedAt, now);
             }
             if (PeerDemand &peer = limited.peers[report.gateway]; reportedAt > peer.at) {
                 peer = { .requestsPerSecond = std::max(0.0, entry.demand), .at = reportedAt };
--- a/packages/gateway/tests/upstream_limits_test.cpp
+++ b/packages/gateway/tests/upstream_limits_test.cpp
@@ -297,3 +297,18 @@
     }
     BOOST_TEST(now - lastLowReport > LimitReportLifetime);
 }
+
+// Guards against a burst of all gateways when a server that has stopped naming a limit names it again: none has a permit saved up from the time between.
+BOOST_AUTO_TEST_CASE(nothingIsSavedUpWhileThereIsNoLimit)
+{
+    constexpr unsigned Gateways = 20;
+    unsigned taken = 0;
+    for (unsigned i = 0; i < Gateways; ++i) {
+        UpstreamLimits limits({ .gateway = "front-" + std::to_string(i), .seed = i + 1, .gatewayCount = Gateways });
+        limits.noteAnswer(Server, 10.0, 0);
+        limits.noteAnswer(Server, std::nullopt, Second);
+        limits.noteAnswer(Server, 10.0, 31 * Second);
+        taken += limits.take(Server, 31 * Second) ? 1 : 0;
+    }
+    BOOST_TEST(taken == 0U);
+}
