Reset requests that cross the close of an idle connection

Callers saw: a request sent on a kept connection while the gateway closed it (idle limit, end of a stop) got neither a response nor a reset.

Cause: Channel::close() lingers for 1.5 s and reads and discards what arrives. A request that crossed the close was therefore read whole and dropped, without a log line. A request that already waited in the socket when the idle limit passed was dropped in the same way.

Change: Channel::closeUnread() closes an idle connection at once, because nothing of ours waits to be delivered. The system then resets a request that crosses the close, which tells the caller that it was not read. At the idle limit a connection with bytes in its socket stays open, and the request is served. Channel::setReading() leaves bytes in the socket and still reports the end of the connection.

Ruled out: connections to upstreams. Bytes that arrive there after a complete response belong to no request.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -159,7 +159,7 @@
 void CallerConnection::closeIfIdle()
 {
     if (!isBusy() && !closed_) {
-        channel_->close();
+        channel_->closeUnread();
         close();
     }
 }
@@ -170,8 +170,9 @@
         return;
     }
     if (!reader_.hasStarted()) {
-        if (now - waitingSince_ > options_.limits.idleTimeout) {
-            channel_->close();
+        // A request that waits in the socket is served. One that crosses the close is reset unread, so that the caller may send it again.
+        if (now - waitingSince_ > options_.limits.idleTimeout && !channel_->hasUnreadInput()) {
+            channel_->closeUnread();
             close();
         }
         return;
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -63,12 +63,19 @@
     [[nodiscard]] std::size_t unsent() const;
     /// Whether the socket holds received bytes that have not been read into input() yet.
     [[nodiscard]] bool hasUnreadInput() const;
+    /// Reading is on at first. While it is off, bytes stay in the socket and onEnd still reports the end of the connection, which then
+    /// counts as PeerFinished even if unread bytes precede the peer's FIN.
+    void setReading(bool enabled);
     /// Whether the connection is established or being established.
     [[nodiscard]] bool isOpen() const;
     /// Whether the connection has ended and its socket is released.
     [[nodiscard]] bool isEnded() const;
-    /// Sends the queued data, then closes the connection normally. Discards input. No further callbacks are invoked.
+    /// Sends the queued data, then closes the connection normally. Reads and discards input until the peer closes it too, unless reading
+    /// is off. No further callbacks are invoked.
     void close();
+    /// Closes the connection normally without reading any further. Bytes that the peer has sent and that were not read are reset, which
+    /// tells it that they were not processed. Sends the queued data first, like close(). No further callbacks are invoked.
+    void closeUnread();
     /// Resets the connection immediately. No further callbacks are invoked.
     void abort();
 
@@ -82,6 +89,8 @@
     void onReady(unsigned condition);
     void finishConnect();
     void readAll();
+    /// Looks for the end of the connection without reading.
+    void checkEnd(unsigned condition);
     void sendQueued();
     void end(ChannelEnd reason);
     void release();
@@ -93,7 +102,9 @@
     std::string output_;
     std::size_t sent_ = 0; ///< Bytes at the front of output_ that the socket has accepted.
     Source *source_ = nullptr;
-    unsigned interest_ = 0; ///< GIOCondition flags that the main loop currently polls for.
+    bool reading_ = true;
+    bool inputWaits_ = false; ///< Reading is off and the socket holds bytes, so that only the end of the connection is polled for.
+    unsigned interest_ = 0;   ///< GIOCondition flags that the main loop currently polls for.
     std::optional<ChannelEnd> pendingEnd_;
     unsigned lingerSource_ = 0; ///< GLib source that aborts a connection whose close() takes too long; 0: none.
 };
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -7,6 +7,7 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -27,6 +28,9 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbeCount = 2;
 
+/// Event of poll() for a FIN of the peer, also behind bytes that were not read. GLib passes it through but has no name for it.
+constexpr unsigned PeerFinishedEvent = POLLRDHUP;
+
 std::optional<sockaddr_in> parseSocketAddress(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
@@ -145,7 +149,8 @@
         return;
     }
     const bool wantsInput = !pendingEnd_ && (state_ == State::Closing || input_.size() < options_.maxInputBytes);
-    const unsigned events = (wantsInput ? unsigned{ G_IO_IN } : 0U) | (unsent() > 0 ? unsigned{ G_IO_OUT } : 0U);
+    const unsigned inputEvent = inputWaits_ ? PeerFinishedEvent : wantsInput ? unsigned{ G_IO_IN } : 0U;
+    const unsigned events = inputEvent | (unsent() > 0 ? unsigned{ G_IO_OUT } : 0U);
     if (events != interest_) {
         interest_ = events;
         g_source_modify_unix_fd(&source_->base, source_->tag, static_cast<GIOCondition>(events));
@@ -235,8 +240,37 @@
     if ((condition & G_IO_OUT) != 0) {
         sendQueued();
     }
-    if (state_ != State::Ended && (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0) {
-        readAll();
+    if (state_ != State::Ended && (condition & (G_IO_IN | G_IO_HUP | G_IO_ERR | PeerFinishedEvent)) != 0) {
+        if (reading_) {
+            readAll();
+        } else {
+            checkEnd(condition);
+        }
+    }
+}
+
+void Channel::setReading(bool enabled)
+{
+    reading_ = enabled;
+    inputWaits_ = inputWaits_ && !enabled;
+    updateInterest();
+}
+
+void Channel::checkEnd(unsigned condition)
+{
+    if ((condition & (G_IO_HUP | G_IO_ERR)) != 0) {
+        end(ChannelEnd::Reset);
+        return;
+    }
+    char byte = 0;
+    const ssize_t count = recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    if (count == 0 || (condition & PeerFinishedEvent) != 0) {
+        end(ChannelEnd::PeerFinished);
+    } else if (count > 0) {
+        inputWaits_ = true;
+        updateInterest();
+    } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        end(ChannelEnd::Reset);
     }
 }
 
@@ -304,8 +338,8 @@
     options_.onData = nullptr;
     options_.onEnd = nullptr;
     input_.clear();
-    // Lingering close: keeps reading until the peer closes, because closing a socket with unread input sends a reset, which can
-    // discard the last response before the peer has read it.
+    // Lingering close: waits until the peer closes and, unless reading is off, reads until then, because closing a socket with unread
+    // input sends a reset, which can discard the last response before the peer has read it.
     auto *const self = new std::shared_ptr<Channel>(shared_from_this());
     lingerSource_ = g_timeout_add_full(
         G_PRIORITY_DEFAULT, LingerTimeoutMs,
@@ -319,6 +353,19 @@
     sendQueued();
 }
 
+void Channel::closeUnread()
+{
+    if (state_ != State::Open || unsent() > 0) {
+        setReading(false);
+        close();
+        return;
+    }
+    state_ = State::Ended;
+    options_.onData = nullptr;
+    options_.onEnd = nullptr;
+    release();
+}
+
 void Channel::abort()
 {
     if (descriptor_ >= 0) {
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -187,3 +187,38 @@
         BOOST_TEST((end == ChannelEnd::ConnectFailed));
     }
 }
+
+// Guards against bytes that are read although nobody is going to serve them, an end that is not noticed behind them, and bytes that stay unread
+// after reading is on again.
+BOOST_AUTO_TEST_CASE(whileReadingIsOffBytesStayInTheSocketAndTheEndIsSeen)
+{
+    for (const bool readAgain : { true, false }) {
+        ConnectedPair channels;
+        channels.dialled->setReading(false);
+        channels.accepted->write("next");
+        BOOST_TEST(iterateUntil([&] { return channels.dialled->hasUnreadInput(); }));
+        for (int i = 0; i < 20; ++i) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        BOOST_TEST(channels.dialled->input().empty());
+        if (readAgain) {
+            channels.dialled->setReading(true);
+            BOOST_TEST(iterateUntil([&] { return channels.dialled->input() == "next"; }));
+        }
+        channels.accepted->close();
+        BOOST_TEST(iterateUntil([&] { return channels.dialledEnd.has_value(); }));
+        BOOST_TEST((channels.dialledEnd == ChannelEnd::PeerFinished));
+    }
+}
+
+// Guards against bytes that cross the close of an idle connection and are read and dropped, so that the peer takes them for processed.
+BOOST_AUTO_TEST_CASE(bytesThatCrossAnUnreadCloseAreReset)
+{
+    ConnectedPair channels;
+    channels.accepted->write("next");
+    BOOST_TEST(iterateUntil([&] { return channels.dialled->hasUnreadInput(); }));
+    channels.dialled->closeUnread();
+    BOOST_TEST(channels.dialled->isEnded());
+    BOOST_TEST(iterateUntil([&] { return channels.acceptedEnd.has_value(); }));
+    BOOST_TEST((channels.acceptedEnd == ChannelEnd::Reset));
+}
