Leave a further request unread while a response is in progress

Callers saw: a request sent behind the last response of a connection (after "Connection: close" of the caller or of a stopping gateway, or behind a stream that was then truncated) got no answer, although the gateway had read it.

Cause: a connection read on while it was busy, up to maxInputBytes, and Channel::close() dropped that input and discarded what came later. A stopping gateway put "Connection: close" on a response although the next request waited already.

Change: reading is off from the moment a request was read until its response is complete. However the connection ends in between, a further request is still unread and is reset, so the caller may send it again. The end of the connection is noticed all the same. A stopping gateway announces the close only if nothing further has arrived.

A request that was rejected (400, 408, 413, 431) is still read on and discarded, so that the caller can read the response. Remaining: requests that arrive in the same read as one that asks for the close, or whose stream is truncated, cannot be given back.

--- a/packages/gateway/include/carobhall/response_writer.h
+++ b/packages/gateway/include/carobhall/response_writer.h
@@ -45,7 +45,7 @@
     /// A request has been read and awaits its response. \p persistent: the caller keeps the connection open after the response.
     /// Precondition: canBeginRequest().
     void beginRequest(bool persistent);
-    /// From now on response heads carry "Connection: close", and the connection ends after its current or next response.
+    /// Response heads from now on carry "Connection: close", and the connection ends after the first response with such a head.
     void closeAfterResponse();
 
     /// A complete response. After startStream() the response is truncated instead.
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -82,6 +82,8 @@
         }
         RequestHead head = reader_.head();
         writer_.beginRequest(head.persistent);
+        // Whatever ends the connection from here on, a further request is still unread then and the caller may send it again.
+        channel_->setReading(false);
         std::string body = reader_.takeBody();
         reader_ = RequestReader(readerLimits(options_.limits));
         continueChecked_ = false;
@@ -109,6 +111,7 @@
     case ResponseEnd::KeepAlive:
         waitingSince_ = monotonicNow();
         lastBytesAt_ = waitingSince_;
+        channel_->setReading(true);
         readRequests();
         return;
     case ResponseEnd::Close:
@@ -121,18 +124,29 @@
     }
 }
 
+void CallerConnection::prepareHead()
+{
+    // A request that was read or waits in the socket is answered before the connection closes.
+    if (shuttingDown_ && channel_->input().empty() && !channel_->hasUnreadInput()) {
+        writer_.closeAfterResponse();
+    }
+}
+
 void CallerConnection::respond(unsigned status, const std::vector<HeaderField> &fields, std::string_view body)
 {
+    prepareHead();
     apply(writer_.respond(status, fields, body));
 }
 
 void CallerConnection::respondHead(unsigned status, const std::vector<HeaderField> &fields, std::optional<std::string_view> length)
 {
+    prepareHead();
     apply(writer_.respondHead(status, fields, length));
 }
 
 void CallerConnection::startStream(unsigned status, const std::vector<HeaderField> &fields)
 {
+    prepareHead();
     apply(writer_.startStream(status, fields));
 }
 
@@ -153,7 +167,7 @@
 
 void CallerConnection::beginShutdown()
 {
-    writer_.closeAfterResponse();
+    shuttingDown_ = true;
 }
 
 void CallerConnection::closeIfIdle()
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -44,7 +44,7 @@
     /// Closes the connection without completing the response, so that the caller sees that it is truncated.
     void abortResponse();
 
-    /// From now on responses carry "Connection: close" and are the last of their connection.
+    /// From now on responses carry "Connection: close" and are the last of their connection, unless a further request has arrived already.
     void beginShutdown();
     /// Closes the connection if no request is in progress.
     void closeIfIdle();
@@ -59,6 +59,8 @@
     void readRequests();
     /// Sends the bytes of \p output and ends the response or the connection as it says.
     void apply(const ResponseOutput &output);
+    /// Call before the head of a response is written.
+    void prepareHead();
     void reject(unsigned status, std::string_view reason);
     void close();
 
@@ -70,7 +72,8 @@
     ResponseWriter writer_;
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
     bool closed_ = false;
-    bool reading_ = false; ///< readRequests() is on the call stack.
+    bool shuttingDown_ = false; ///< beginShutdown() was called.
+    bool reading_ = false;      ///< readRequests() is on the call stack.
 };
 
 } // namespace Carobhall
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 #include <rapidcheck.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Carobhall;
 
@@ -222,3 +224,24 @@
     BOOST_TEST(iterateUntil([&] { return channels.acceptedEnd.has_value(); }));
     BOOST_TEST((channels.acceptedEnd == ChannelEnd::Reset));
 }
+
+// Guards against a close that reads and drops what the peer sends behind the last message, although reading is off.
+BOOST_AUTO_TEST_CASE(aCloseReadsOnOnlyIfReadingIsOn)
+{
+    for (const bool reading : { true, false }) {
+        std::array<int, 2> sockets{};
+        BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, sockets.data()) == 0);
+        const auto channel = Channel::adopt(sockets[0], {});
+        channel->setReading(reading);
+        channel->close();
+        const std::string bytes(std::size_t{ 8 } << 20U, 'x'); // More than the sockets hold.
+        std::size_t sent = 0;
+        const Micros until = monotonicNow() + 300 * MicrosPerMilli;
+        while (monotonicNow() < until && sent < bytes.size()) {
+            sent += static_cast<std::size_t>(std::max<ssize_t>(0, send(sockets[1], bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT)));
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        BOOST_TEST((sent == bytes.size()) == reading);
+        ::close(sockets[1]);
+    }
+}
