--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 #include <rapidcheck.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Carobhall;
 
@@ -187,3 +189,59 @@
         BOOST_TEST((end == ChannelEnd::ConnectFailed));
     }
 }
+
+// Guards against bytes that are read although nobody is going to serve them, an end that is not noticed behind them, and bytes that stay unread
+// after reading is on again.
+BOOST_AUTO_TEST_CASE(whileReadingIsOffBytesStayInTheSocketAndTheEndIsSeen)
+{
+    for (const bool readAgain : { true, false }) {
+        ConnectedPair channels;
+        channels.dialled->setReading(false);
+        channels.accepted->write("next");
+        BOOST_TEST(iterateUntil([&] { return channels.dialled->hasUnreadInput(); }));
+        for (int i = 0; i < 20; ++i) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        BOOST_TEST(channels.dialled->input().empty());
+        if (readAgain) {
+            channels.dialled->setReading(true);
+            BOOST_TEST(iterateUntil([&] { return channels.dialled->input() == "next"; }));
+        }
+        channels.accepted->close();
+        BOOST_TEST(iterateUntil([&] { return channels.dialledEnd.has_value(); }));
+        BOOST_TEST((channels.dialledEnd == ChannelEnd::PeerFinished));
+    }
+}
+
+// Guards against bytes that cross the close of an idle connection and are read and dropped, so that the peer takes them for processed.
+BOOST_AUTO_TEST_CASE(bytesThatCrossAnUnreadCloseAreReset)
+{
+    ConnectedPair channels;
+    channels.accepted->write("next");
+    BOOST_TEST(iterateUntil([&] { return channels.dialled->hasUnreadInput(); }));
+    channels.dialled->closeUnread();
+    BOOST_TEST(channels.dialled->isEnded());
+    BOOST_TEST(iterateUntil([&] { return channels.acceptedEnd.has_value(); }));
+    BOOST_TEST((channels.acceptedEnd == ChannelEnd::Reset));
+}
+
+// Guards against a close that reads and drops what the peer sends behind the last message, although reading is off.
+BOOST_AUTO_TEST_CASE(aCloseReadsOnOnlyIfReadingIsOn)
+{
+    for (const bool reading : { true, false }) {
+        std::array<int, 2> sockets{};
+        BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, sockets.data()) == 0);
+        const auto channel = Channel::adopt(sockets[0], {});
+        channel->setReading(reading);
+        channel->close();
+        const std::string bytes(std::size_t{ 8 } << 20U, 'x'); // More than the sockets hold.
+        std::size_t sent = 0;
+        const Micros until = monotonicNow() + 300 * MicrosPerMilli;
+        while (monotonicNow() < until && sent < bytes.size()) {
+            sent += static_cast<std::size_t>(std::max<ssize_t>(0, send(sockets[1], bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT)));
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        BOOST_TEST((sent == bytes.size()) == reading);
+        ::close(sockets[1]);
+    }
+}
