Apply the limits in force to kept connections

Callers saw: on a connection from before a change of the limits, requests of a size that the newest configuration allows were refused (413, 431), and the connection was closed at the old idle limit while they still reused it.

Cause: a connection kept the limits of the configuration with which it was accepted.

Evidence, with a copy of the limits per connection as before: aKeptConnectionFollowsTheLimitsInForce: check caller.receive() == 200U has failed [0 != 200] loweredLimitsApplyOnceCallersKnowThem: check site.hasNoConnections() has failed

Change: CallerLimitHistory decides without I/O which limits apply. A request is read by the limits in force when its first byte arrives; an idle connection is judged by those in force now.

Ruled out: a permanent allowance above the idle limit.

--- a/packages/gateway/include/carobhall/gateway_config.h
+++ b/packages/gateway/include/carobhall/gateway_config.h
@@ -94,6 +94,7 @@
     std::uint64_t maxBodyBytes = std::uint64_t{ 4 } << 20U;
     Micros headerTimeout = 3 * MicrosPerSecond;
     Micros idleTimeout = 15 * MicrosPerSecond;
+    bool operator==(const CallerLimits &) const = default;
 };
 
 struct GatewayConfig {
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -17,7 +17,7 @@
 
 CallerConnection::CallerConnection(CallerConnectionOptions options)
     : options_(std::move(options))
-    , reader_(readerLimits(options_.limits))
+    , reader_(ReaderLimits{})
 {
 }
 
@@ -39,7 +39,7 @@
                                         readRequests();
                                     },
                                 .onEnd = [this](ChannelEnd) { close(); },
-                                .maxInputBytes = static_cast<std::size_t>(options_.limits.maxBodyBytes) + (std::size_t{ 1 } << 20U) });
+                                .maxInputBytes = static_cast<std::size_t>(options_.limits->forRequest(now).maxBodyBytes) + (std::size_t{ 1 } << 20U) });
 }
 
 void CallerConnection::readRequests()
@@ -53,6 +53,8 @@
     while (writer_.canBeginRequest() && !closed_ && channel_->isOpen() && !channel_->input().empty()) {
         if (!reader_.hasStarted()) {
             waitingSince_ = monotonicNow();
+            requestLimits_ = options_.limits->forRequest(waitingSince_);
+            reader_ = RequestReader(readerLimits(requestLimits_));
         }
         const ReadProgress progress = reader_.read(channel_->input());
         if (progress == ReadProgress::NeedsMore) {
@@ -85,7 +87,7 @@
         // Whatever ends the connection from here on, a further request is still unread then and the caller may send it again.
         channel_->setReading(false);
         std::string body = reader_.takeBody();
-        reader_ = RequestReader(readerLimits(options_.limits));
+        reader_ = RequestReader(ReaderLimits{});
         continueChecked_ = false;
         options_.onRequest(self, std::move(head), std::move(body));
     }
@@ -185,14 +187,14 @@
     }
     if (!reader_.hasStarted()) {
         // A request that waits in the socket is served. One that crosses the close is reset unread, so that the caller may send it again.
-        if (now - waitingSince_ > options_.limits.idleTimeout && !channel_->hasUnreadInput()) {
+        if (now - waitingSince_ > options_.limits->idleTimeout(now) && !channel_->hasUnreadInput()) {
             channel_->closeUnread();
             close();
         }
         return;
     }
-    const bool headLate = !reader_.hasHead() && now - waitingSince_ > options_.limits.headerTimeout;
-    if (headLate || now - lastBytesAt_ > options_.limits.idleTimeout) {
+    const bool headLate = !reader_.hasHead() && now - waitingSince_ > requestLimits_.headerTimeout;
+    if (headLate || now - lastBytesAt_ > requestLimits_.idleTimeout) {
         reject(408, headLate ? "header_timeout" : "body_timeout");
     }
 }
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -2,8 +2,8 @@
 
 // The server side of one HTTP/1.1 connection of a caller. Reads requests one after the other and writes their responses.
 
+#include "carobhall/caller_limits.h"
 #include "carobhall/channel.h"
-#include "carobhall/gateway_config.h"
 #include "carobhall/response_writer.h"
 
 #include <functional>
@@ -15,7 +15,7 @@
 
 struct CallerConnectionOptions {
     int descriptor = -1;
-    CallerLimits limits{};
+    const CallerLimitHistory *limits = nullptr; ///< Outlives the connection.
     std::function<void(const std::shared_ptr<CallerConnection> &, RequestHead, std::string body)> onRequest{};
     std::function<void(CallerConnection &, std::string_view reason)> onRejected{}; ///< A malformed or oversized request was answered with an error.
     std::function<void(CallerConnection &)> onClosed{};                            ///< The caller or this process closed the connection.
@@ -66,6 +66,7 @@
 
     CallerConnectionOptions options_;
     std::shared_ptr<Channel> channel_;
+    CallerLimits requestLimits_{}; ///< Of the request that is being read.
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
     Micros lastBytesAt_ = 0;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -82,6 +82,7 @@
     CrashProbe crashProbe;
     ExchangeContext context;
     std::shared_ptr<const RouteTable> routes;
+    CallerLimitHistory callerLimits;
     ChannelListener listener;
     ObjectRef<SoupServer> readiness;
     std::unique_ptr<AdminListener> admin;
@@ -328,7 +329,7 @@
 {
     const auto caller = std::make_shared<CallerConnection>(CallerConnectionOptions{
         .descriptor = descriptor,
-        .limits = routes ? routes->config().limits : CallerLimits{},
+        .limits = &callerLimits,
         .onRequest = [this](const std::shared_ptr<CallerConnection> &from, RequestHead head,
                             std::string body) { onRequest(from, std::move(head), std::move(body)); },
         .onRejected =
@@ -392,6 +393,7 @@
                { "source", source },
                { "routes", config->routes.size() },
                { "accounts", config->accounts.size() } });
+    callerLimits.adopt(config->limits, monotonicNow());
     routes = std::make_shared<RouteTable>(std::move(*config));
     subscribeToCacheStore();
     return true;
