Stop sending requests to servers that announce their shutdown

What callers saw: a server that leaves says so in all its answers (Server-Leaving: 1). The header was ignored; as long as the platform's list showed the server as ready, requests, retries and standbys went on reaching it and broke off when it exited.

Cause: the only source for a planned shutdown was the entry in the store, which can lag, be rewritten, or be unreachable.

Fix: the codec decodes the header, and UpstreamTable excludes the process from every choice, including the fallbacks for avoided and removed upstreams. The knowledge is kept by process (id and start time) in UpstreamAvailability, apart from the entries, so that an entry that is rewritten or removed and written again changes nothing, and the next process under the same id or at the same address is not affected. Answers of another process at the address (421 that names another instance) do not count. Sidecars read the header from reports and order replies and pass on the start time of the process in a new last field of EngineStatus; peers of the previous version are understood. A process that leaves is no evidence of a crash when it ends.

Ruled out: passing on a flag without the start time, which the gateway could attribute to the next process at the same address for good.

--- a/packages/gateway/include/carobhall/exchange_codec.h
+++ b/packages/gateway/include/carobhall/exchange_codec.h
@@ -45,6 +45,7 @@
     bool hasContentEncoding = false;   ///< The body has a content coding that the caller did not ask for.
     std::optional<Micros> keepAlive{}; ///< Idle timeout of the connection.
     std::optional<std::uint64_t> weightsVersion{};
+    bool leaving = false;                      ///< The process shuts down and takes no new requests.
     std::optional<double> requestsPerSecond{}; ///< How many requests the upstream takes from all gateways together; empty: as many as come.
 };
 
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -21,6 +21,7 @@
 #include "carobhall/gateway_config.h"
 #include "carobhall/prefix_cache_index.h"
 #include "carobhall/queue_wait_limit.h"
+#include "carobhall/upstream_availability.h"
 #include "carobhall/upstream_limits.h"
 
 #include <map>
@@ -193,6 +194,15 @@
     [[nodiscard]] Micros timeToPermit(std::string_view service, Micros now);
     [[nodiscard]] UpstreamLimits &limits();
 
+    /// Which processes take requests. Those that do not are never chosen.
+    [[nodiscard]] UpstreamAvailability &availability();
+    /// Whether the platform's list or the process itself has announced its shutdown.
+    [[nodiscard]] bool isShuttingDown(const Upstream &upstream) const;
+    /// Whether requests may be sent to \p upstream if the platform lists it.
+    [[nodiscard]] bool isUsable(const Upstream &upstream, Micros now) const;
+    /// The process at \p ip that has started at \p startedAtMs (Unix time) shuts down. Returns the upstream if that was not known, or nullptr.
+    UpstreamRef noteEngineLeaving(std::string_view ip, std::int64_t startedAtMs, Micros now);
+
     /// A request was sent to \p upstream. \p prefillTokens and \p memoryTokens are 0 for plain upstreams.
     void noteAttemptStarted(Upstream &upstream, std::uint64_t prefillTokens, std::uint64_t memoryTokens);
     /// The request produced its first token, or ended without one: its \p prefillTokens are no longer pending.
@@ -208,7 +218,7 @@
     [[nodiscard]] const std::map<std::string, UpstreamRef, std::less<>> &byId() const;
     /// Increases with each change of the list of upstreams.
     [[nodiscard]] std::uint64_t revision() const;
-    /// Number of listed, running and not draining upstreams of \p service; of all services when it is empty.
+    /// Number of listed and running upstreams that do not shut down, of \p service; of all services when it is empty.
     [[nodiscard]] std::size_t readyCount(std::string_view service) const;
     [[nodiscard]] const PrefixCacheIndex &cacheIndex() const;
     [[nodiscard]] const QueueWaitLimit &queueWaitLimit() const;
@@ -244,6 +254,7 @@
     std::uint64_t revision_ = 0;
     PrefixCacheIndex cacheIndex_;
     UpstreamLimits limits_;
+    UpstreamAvailability availability_;
     QueueWaitLimit queueWaitLimit_; ///< Follows the queue delays of long prompts.
     UpstreamRef store_;             ///< The KV cache store. It holds parts like an upstream but is never chosen for requests.
     double storeLinkMbps_ = 0.0;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include "exchange.h"
 
+#include "upstream_notices.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -57,7 +59,7 @@
 {
     return std::ranges::any_of(upstreams.byId(), [&](const auto &entry) {
         const UpstreamRef &upstream = entry.second;
-        const bool usable = upstream->present && !upstream->replaced && !upstream->record.draining;
+        const bool usable = upstream->present && upstreams.isUsable(*upstream, monotonicNow());
         return usable && upstream->record.service == service && std::ranges::find(tried, upstream) == tried.end();
     });
 }
@@ -437,6 +439,7 @@
     if (response.weightsVersion && attempt_->choice.upstream && isSuccess(head.status)) {
         attempt_->upstream->record.weightsVersion = std::max(attempt_->upstream->record.weightsVersion, *response.weightsVersion);
     }
+    noteAvailability(*options_.context->upstreams, *attempt_->upstream, response, request_.id, monotonicNow());
     if (!response.misdirected) {
         noteNamedLimit(response.requestsPerSecond);
     }
@@ -570,7 +573,7 @@
 void Exchange::noteConnectionLost()
 {
     const Upstream &upstream = *attempt_->upstream;
-    if (isSound_ || !upstream.present || upstream.record.draining) {
+    if (isSound_ || !upstream.present || options_.context->upstreams->isShuttingDown(upstream)) {
         // A request that has run for a while is not the cause, and a leaving process ends without a crash.
         return;
     }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -442,7 +442,7 @@
         return;
     }
     const UpstreamRecord &known = found->second->record;
-    if (!known.draining && known.startedAtMs != startedAtMs) {
+    if (!upstreams.isShuttingDown(*found->second) && known.startedAtMs != startedAtMs) {
         noteCrashed(known, "list", now);
     }
 }
@@ -514,6 +514,7 @@
         entry["service"] = upstream->record.service;
         entry["present"] = upstream->present;
         entry["draining"] = upstream->record.draining;
+        entry["leaving"] = impl_->upstreams.isShuttingDown(*upstream);
         entry["in_flight"] = upstream->inFlight;
         entry["weights"] = Json::UInt64(upstream->weightsVersion());
         entry["closed"] = upstream->load.closed;
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -163,6 +163,11 @@
                                .closing = status->closing,
                                .closed = status->closed };
         options_.upstreams->noteEngineLoad(ip, load, now);
+        if (status->leavingStartMs != 0) {
+            if (const UpstreamRef upstream = options_.upstreams->noteEngineLeaving(ip, status->leavingStartMs, now)) {
+                logEvent(LogLevel::Info, "upstream_leaving", { { "upstream", upstream->record.id }, { "source", "sidecar" } });
+            }
+        }
         for (const CacheChange &change : status->changes) {
             options_.upstreams->noteCachedPart(ip, change.salt, change.part, change.held, now);
         }
--- /dev/null
+++ b/packages/gateway/src/upstream_notices.cpp
@@ -0,0 +1,16 @@
+#include "upstream_notices.h"
+
+namespace Carobhall
+{
+
+void noteAvailability(UpstreamTable &table, const Upstream &upstream, const UpstreamResponse &response, std::string_view requestId, Micros now)
+{
+    if (response.misdirected && !response.instance.empty() && response.instance != upstream.record.id) {
+        return;
+    }
+    if (response.leaving && table.availability().noteLeaving(upstream.process, now)) {
+        logEvent(LogLevel::Info, "upstream_leaving", { { "upstream", upstream.record.id }, { "source", "answer" }, { "id", requestId } });
+    }
+}
+
+} // namespace Carobhall
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -298,7 +298,7 @@
     std::vector<UpstreamRef> removed{};
     for (const auto &[id, upstream] : byId_) {
         const bool alreadyTried = std::ranges::find(tried, upstream) != tried.end();
-        if (upstream->record.service != service || upstream->record.draining || upstream->replaced || alreadyTried) {
+        if (upstream->record.service != service || alreadyTried || !isUsable(*upstream, now)) {
             continue;
         }
         if (!upstream->present) {
@@ -364,6 +364,35 @@
     return limits_;
 }
 
+UpstreamAvailability &UpstreamTable::availability()
+{
+    return availability_;
+}
+
+bool UpstreamTable::isShuttingDown(const Upstream &upstream) const
+{
+    return upstream.record.draining || availability_.isLeaving(upstream.process);
+}
+
+bool UpstreamTable::isUsable(const Upstream &upstream, Micros now) const
+{
+    return !upstream.replaced && !upstream.record.draining && availability_.isAvailable(upstream.process, now);
+}
+
+UpstreamRef UpstreamTable::noteEngineLeaving(std::string_view ip, std::int64_t startedAtMs, Micros now)
+{
+    const auto found = byIp_.find(ip);
+    if (found == byIp_.end()) {
+        return {};
+    }
+    for (const UpstreamRef &upstream : found->second) {
+        if (upstream->record.startedAtMs == startedAtMs) {
+            return availability_.noteLeaving(upstream->process, now) ? upstream : nullptr;
+        }
+    }
+    return {};
+}
+
 UpstreamRef UpstreamTable::cheapestPlainUpstream(const Service &service, std::span<const UpstreamRef> tried, Micros now)
 {
     UpstreamRef best{};
@@ -402,7 +431,7 @@
         const bool inSameRegion = sameRegion(target.record.zone, source->record.zone);
         // The store is not used from other regions, because such a transfer occupies its single link for ten times as long. An engine
         // with another weights version may hold parts computed with those weights, and one that is gone costs a timeout.
-        if (isStore ? !inSameRegion : !source->present || source->record.draining || source->weightsVersion() != target.weightsVersion()) {
+        if (isStore ? !inSameRegion : !source->present || isShuttingDown(*source) || source->weightsVersion() != target.weightsVersion()) {
             continue;
         }
         std::size_t depth = 0;
@@ -430,7 +459,7 @@
 {
     std::map<std::string_view, std::vector<const Upstream *>> zones;
     for (const auto &[id, upstream] : byId_) {
-        if (upstream->record.service == service && upstream->present && !upstream->record.draining) {
+        if (upstream->record.service == service && upstream->present && !isShuttingDown(*upstream)) {
             zones[upstream->record.zone].push_back(upstream.get());
         }
     }
@@ -630,7 +659,7 @@
 {
     return static_cast<std::size_t>(std::ranges::count_if(byId_, [&](const auto &entry) {
         const Upstream &upstream = *entry.second;
-        return upstream.present && !upstream.replaced && !upstream.record.draining && (service.empty() || upstream.record.service == service);
+        return upstream.present && !upstream.replaced && !isShuttingDown(upstream) && (service.empty() || upstream.record.service == service);
     }));
 }
 
--- a/packages/sidecar/include/carobhall/sidecar.h
+++ b/packages/sidecar/include/carobhall/sidecar.h
@@ -23,6 +23,8 @@
     OrderResult (*decodeOrder)(const HttpReply &reply) = nullptr;
     /// Id of the server process that answered; empty if the reply does not name it.
     std::string (*decodeInstance)(const HttpReply &reply) = nullptr;
+    /// Whether the process that answered shuts down and takes no new requests.
+    bool (*decodeLeaving)(const HttpReply &reply) = nullptr;
 };
 
 struct SidecarOptions {
--- a/packages/sidecar/include/carobhall/weights_rollout.h
+++ b/packages/sidecar/include/carobhall/weights_rollout.h
@@ -29,9 +29,10 @@
     std::uint64_t totalTokens = 0; ///< KV cache capacity, in tokens.
     std::string model{};
     std::uint64_t weightsVersion = 0;
-    bool busy = false;          ///< An order is being executed.
-    std::uint64_t sequence = 0; ///< Number of orders accepted since the server process started.
-    std::string instance{};     ///< Id of the running server process; empty: unknown.
+    bool busy = false;            ///< An order is being executed.
+    std::uint64_t sequence = 0;   ///< Number of orders accepted since the server process started.
+    std::string instance{};       ///< Id of the running server process; empty: unknown.
+    std::int64_t startedAtMs = 0; ///< Start time (Unix) of the server process; 0: unknown.
 };
 
 enum class OrderResult : std::uint8_t {
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -33,6 +33,8 @@
     void tick();
     void requestReport();
     void onReport(const HttpReply &reply);
+    /// Tells the gateways if \p reply announces the shutdown of the server process that `report` describes.
+    void noteLeaving(const HttpReply &reply);
     void sendOrder(const RolloutStep &step);
     void onWeightsAnnounced(const std::string &model, std::uint64_t version, std::string_view source);
     void computeWave(std::uint64_t version, Micros now);
@@ -61,6 +63,7 @@
     bool orderInFlight = false;
     bool closed = false;
     bool closing = false;
+    std::int64_t leavingStartMs = 0; ///< Start time of the last server process that announced its shutdown; 0: none did.
     Micros nextReportAt = 0;
     Micros lastStatusAt = 0;
     EngineStatus lastStatus;
@@ -210,6 +213,17 @@
     if (!decoded->model.empty()) {
         model = decoded->model;
     }
+    noteLeaving(reply);
+}
+
+void Sidecar::Impl::noteLeaving(const HttpReply &reply)
+{
+    if (reply.error || !options.engine.decodeLeaving(reply) || report.startedAtMs == 0 || report.startedAtMs == leavingStartMs) {
+        return;
+    }
+    leavingStartMs = report.startedAtMs;
+    logEvent(LogLevel::Info, "engine_leaving", { { "started_at_ms", leavingStartMs }, { "running", report.running }, { "queued", report.queued } });
+    sendStatus(true);
 }
 
 void Sidecar::Impl::sendOrder(const RolloutStep &step)
@@ -233,6 +247,9 @@
             // their sequence guards against a stale order until the platform's server list is read again.
             engineInstance = options.engine.decodeInstance(reply);
         }
+        if (result != OrderResult::Misdirected) {
+            noteLeaving(reply);
+        }
         rollout.onOrderResult(result, monotonicNow());
         nextReportAt = 0;
     });
@@ -375,7 +392,8 @@
              .closing = closing,
              .changes = {},
              .gateways = static_cast<std::uint32_t>(gateways.size()),
-             .pendingPrefillTokens = 0 };
+             .pendingPrefillTokens = 0,
+             .leavingStartMs = leavingStartMs };
 }
 
 void Sidecar::Impl::sendStatus(bool force)
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -310,8 +310,11 @@
     std::vector<CacheChange> changes;       ///< In the order in which they occurred.
     std::uint32_t gateways = 0;             ///< Number of gateways connected to the sidecar.
     std::uint64_t pendingPrefillTokens = 0; ///< Sum of the values that all gateways except the receiver have reported with PendingPrefill.
+    std::int64_t leavingStartMs = 0;        ///< Start time (Unix) of the server process if it has announced its shutdown; 0: it has not.
 
-    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways, pendingPrefillTokens, closing)
+    // Fields are only appended: peers of the previous version send and read fewer of them.
+    MSGPACK_DEFINE(queued, running, usedTokens, totalTokens, weightsVersion, closed, cacheReset, changes, gateways, pendingPrefillTokens, closing,
+                   leavingStartMs)
 };
 
 /// Prompt tokens of the requests that one gateway has sent to a model server and for which no token has come back yet.
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -166,3 +166,31 @@
     BOOST_TEST(!decode("").has_value());
     BOOST_TEST(!decode(std::string("\x92\x7f\x90", 3)).has_value());
 }
+
+// Guards against a rolling upgrade in which gateways drop the status of sidecars of the previous version, which lacks the last field.
+BOOST_AUTO_TEST_CASE(aStatusWithoutTheLastFieldIsUnderstood)
+{
+    constexpr std::uint32_t Fields = 11;
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(2);
+    packer.pack(static_cast<std::uint32_t>(Message(EngineStatus{}).index()));
+    packer.pack_array(Fields);
+    for (std::uint32_t field = 1; field <= Fields; ++field) {
+        constexpr std::array<std::uint32_t, 3> Flags{ 6, 7, 11 };
+        constexpr std::uint32_t Changes = 8;
+        if (field == Changes) {
+            packer.pack(std::vector<CacheChange>{});
+        } else if (std::ranges::find(Flags, field) != Flags.end()) {
+            packer.pack(true);
+        } else {
+            packer.pack(field);
+        }
+    }
+    const auto message = decode({ buffer.data(), buffer.size() });
+    BOOST_REQUIRE(message);
+    const auto &status = std::get<EngineStatus>(*message);
+    BOOST_TEST(status.closing);
+    BOOST_TEST(status.pendingPrefillTokens == 10U);
+    BOOST_TEST(status.leavingStartMs == 0);
+}
