--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,8 @@
 #include "exchange.h"
 #include "exchange_attempt.h"
 
+#include "upstream_notices.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -143,6 +145,7 @@
     if (response.weightsVersion && attempt_->choice.upstream && isSuccess(head.status)) {
         attempt_->upstream->record.weightsVersion = std::max(attempt_->upstream->record.weightsVersion, *response.weightsVersion);
     }
+    noteAvailability(*options_.context->upstreams, *attempt_->upstream, response, request_.id, monotonicNow());
     if (!response.misdirected) {
         noteNamedLimit(response.requestsPerSecond);
     }
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -44,7 +44,7 @@
 {
     return std::ranges::any_of(upstreams.byId(), [&](const auto &entry) {
         const UpstreamRef &upstream = entry.second;
-        const bool usable = upstream->present && !upstream->replaced && !upstream->record.draining;
+        const bool usable = upstream->present && upstreams.isUsable(*upstream, monotonicNow());
         return usable && upstream->record.service == service && std::ranges::find(tried, upstream) == tried.end();
     });
 }
@@ -286,7 +286,7 @@
 void Exchange::noteConnectionLost()
 {
     const Upstream &upstream = *attempt_->upstream;
-    if (isSound_ || !upstream.present || upstream.record.draining) {
+    if (isSound_ || !upstream.present || options_.context->upstreams->isShuttingDown(upstream)) {
         // A request that has run for a while is not the cause, and a leaving process ends without a crash.
         return;
     }
