Follow the list of servers beside entries that cannot be parsed

Beside one odd entry of another writer (nested deeper than 64 levels, a number such as 1e999), gateways and sidecars stopped following the list: new servers got no requests, removed ones were used on, and a restarted gateway served nothing. No process ended.

Cause: a page of the list, or a batch of watch events, was parsed as one document, and JsonCpp refuses a document as a whole. The watch closed, the list failed, and both were tried again without end.

Now the page is split by a scan over strings and brackets, in constant stack space, and the fields of each entry are parsed one by one. Limits on depth stay. A page that is no JSON even for the scan still fails as a whole.

Ruled out: processes that end; they lived on before, too.

--- a/packages/runtime/include/carobhall/runtime.h
+++ b/packages/runtime/include/carobhall/runtime.h
@@ -87,6 +87,13 @@
 
 /// Parses \p text. Returns std::nullopt if it is not strict JSON or is nested too deeply. Thread-safe.
 [[nodiscard]] std::optional<Json::Value> parseJson(std::string_view text);
+/// Name, without quotes and with its escapes, and text of a member of a JSON object.
+using JsonMember = std::pair<std::string_view, std::string_view>;
+/// Splits the JSON object \p text into the texts of its members, or the array \p text into those of its elements, without parsing them: one that
+/// is nested too deeply or cannot be parsed does not affect the others. The results refer to \p text. Returns std::nullopt if it is no complete
+/// object or array. Takes constant stack space and linear time. Thread-safe.
+[[nodiscard]] std::optional<std::vector<JsonMember>> splitJsonObject(std::string_view text);
+[[nodiscard]] std::optional<std::vector<std::string_view>> splitJsonArray(std::string_view text);
 /// Serialises \p value to a single line of UTF-8. Thread-safe.
 [[nodiscard]] std::string writeJson(const Json::Value &value);
 
