Answer or refuse each request that has arrived when the process ends

Callers saw: at the end of the grace period the connection of a request without a response was closed, and so was that of a request that had been read in part. A closed connection promises nothing, so the caller could not send a non-idempotent request again.

Cause: Exchange::abortForShutdown truncated every response, also one that had not started; connections that were reading a request were closed by the end of the process.

Evidence, on the code before (aStopAnswersOrRefusesEachRequestThatHasArrived): half of the head, half of the body read: caller.receive() == expected.status has failed [0 != 503] sent to a server, half of its response received: has failed [0 != 502] A request that waits in the socket and a started stream were right before.

Change: what waits in the sockets is read first; a request in progress gets 503 with Retry-After if it has not run and 502 otherwise, and only a started stream is truncated; a request that was read in part gets 503 with Retry-After. An attempt whose connection was still being established has sent nothing and no longer counts as one that may have run; this also turns 504 at the deadline into 503 there.

Not shown by a test: the attempt whose connection is being established.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Retry-After, in seconds, of a request that was read in part when the process ends. New connections reach another process at once.
+constexpr std::string_view RetryAfterStop = "0.150";
+
 ReaderLimits readerLimits(const CallerLimits &limits)
 {
     return { .maxHeaderBytes = limits.maxHeaderBytes, .maxBodyBytes = limits.maxBodyBytes };
@@ -172,12 +175,29 @@
     shuttingDown_ = true;
 }
 
-void CallerConnection::closeIfIdle()
+void CallerConnection::readWaiting()
+{
+    if (!closed_) {
+        channel_->readWaiting();
+    }
+}
+
+void CallerConnection::endForShutdown()
 {
-    if (!isBusy() && !closed_) {
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    readWaiting();
+    if (closed_ || writer_.isBusy()) {
+        return;
+    }
+    if (!reader_.hasStarted()) {
         channel_->closeUnread();
         close();
+        return;
     }
+    // Not run, and told so: the rest of the request has not arrived.
+    writer_.beginRequest(false);
+    options_.onRejected(*this, "process_stopped");
+    respond(503, { { "Retry-After", std::string(RetryAfterStop) } }, {});
 }
 
 void CallerConnection::checkTimeouts(Micros now)
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -46,8 +46,10 @@
 
     /// From now on responses carry "Connection: close" and are the last of their connection, unless a further request has arrived already.
     void beginShutdown();
-    /// Closes the connection if no request is in progress.
-    void closeIfIdle();
+    /// Reads what waits in the socket now, and hands over the requests that are complete.
+    void readWaiting();
+    /// Closes the connection if no request awaits its response. A request that has been read in part is refused.
+    void endForShutdown();
     /// Enforces the idle and read timeouts of CallerLimits.
     void checkTimeouts(Micros now);
     /// A request is being handled or read, or waits in the socket.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -705,7 +705,9 @@
     if (!attempt_ || !attempt_->call->isActive()) {
         return;
     }
-    verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    if (attempt_->call->mayHaveSent()) {
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    }
     attempt_->call->cancel();
     // A stream that stalls after its first event is the upstream's failure; before that the request may have been queued.
     const bool stalled = options_.caller->hasStartedStream() && monotonicNow() - attempt_->lastProgressAt > inactivityLimit();
@@ -729,8 +731,7 @@
     }
     const std::shared_ptr<Exchange> self = shared_from_this();
     cancelAttempt();
-    finish(0, "process_stopped");
-    options_.caller->abortResponse();
+    giveUp("process_stopped", RetryAfterRejected);
 }
 
 void Exchange::finish(unsigned status, std::string_view outcome)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -50,7 +50,7 @@
     void begin(Micros now);
     /// The caller closed its connection: cancels the attempt in progress.
     void onCallerDisconnected();
-    /// The process exits before the request is complete: cancels the attempt and truncates the response.
+    /// The process exits before the request is complete: cancels the attempt, and responds with an error or truncates the started stream.
     void abortForShutdown();
     [[nodiscard]] const CallerConnection *caller() const;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -269,7 +269,7 @@
 
 bool Gateway::Impl::refusesRequests(Micros now) const
 {
-    return stoppingSince != 0 && now - stoppingSince > static_cast<Micros>(static_cast<double>(options.settings.stopGrace) * AcceptShareOfGrace);
+    return stopped || (stoppingSince != 0 && now - stoppingSince > static_cast<Micros>(static_cast<double>(options.settings.stopGrace) * AcceptShareOfGrace));
 }
 
 bool Gateway::Impl::refusesStreams(Micros now) const
@@ -312,14 +312,18 @@
         }
     }
     stopped = true;
+    // Each request that has arrived is answered or refused; a started stream is truncated. From now on new requests are refused.
     const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
     for (const std::shared_ptr<CallerConnection> &caller : all) {
-        caller->closeIfIdle();
+        caller->readWaiting();
     }
     const std::vector<std::shared_ptr<Exchange>> unfinished(exchanges.begin(), exchanges.end());
     for (const std::shared_ptr<Exchange> &exchange : unfinished) {
         exchange->abortForShutdown();
     }
+    for (const std::shared_ptr<CallerConnection> &caller : all) {
+        caller->endForShutdown();
+    }
     logEvent(LogLevel::Info, "stopped", { { "requests_cut", unfinished.size() }, { "after_ms", elapsed / MicrosPerMilli } });
     // Further iterations of the main loop send the remaining output of the closed connections.
     ticker.startOnce(100 * MicrosPerMilli, [this] { options.onStopped(); });
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -141,6 +141,11 @@
     return !ended_;
 }
 
+bool UpstreamCall::mayHaveSent() const
+{
+    return requestSent_ && (!channel_ || !channel_->isConnecting());
+}
+
 const ResponseHead &UpstreamCall::head() const
 {
     return reader_.head();
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -110,6 +110,8 @@
 
     /// The call has neither ended nor been cancelled.
     [[nodiscard]] bool isActive() const;
+    /// Whether any byte of the request may have reached the upstream: send() was called and the connection was established.
+    [[nodiscard]] bool mayHaveSent() const;
     [[nodiscard]] const ResponseHead &head() const;
     [[nodiscard]] const UpstreamResponse &response() const;
     [[nodiscard]] std::string takeBody();
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -68,6 +68,10 @@
     void setReading(bool enabled);
     /// Whether the connection is established or being established.
     [[nodiscard]] bool isOpen() const;
+    /// Whether the connection is being established, so that no byte has reached the peer.
+    [[nodiscard]] bool isConnecting() const;
+    /// Reads the bytes that wait in the socket now, as the main loop would, until none remain or reading is off.
+    void readWaiting();
     /// Whether the connection has ended and its socket is released.
     [[nodiscard]] bool isEnded() const;
     /// Sends the queued data, then closes the connection normally. Reads and discards input until the peer closes it too, unless reading
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -185,6 +185,19 @@
     return state_ == State::Open || state_ == State::Connecting;
 }
 
+bool Channel::isConnecting() const
+{
+    return state_ == State::Connecting;
+}
+
+void Channel::readWaiting()
+{
+    const std::shared_ptr<Channel> self = shared_from_this();
+    while (state_ == State::Open && reading_ && input_.size() < options_.maxInputBytes && hasUnreadInput()) {
+        readAll();
+    }
+}
+
 bool Channel::isEnded() const
 {
     return state_ == State::Ended;
