Count and log the connections of callers that the gateway ends

The logs could not show that an idle connection was closed, so a request lost beside such a close left no line.

carobhall_connections_closed_total counts all ends by reason (caller-left, idle, stop, complete, truncated). Idle closes are logged in one line a tick at most (connections_closed reason=idle count=... limit_ms=...), so that a thousand of them at once make one line; those of a stop are named in the line "stopped". Truncated and rejected responses have lines of their own already (request_done, message_rejected).

No test reads the counter or the lines yet; platform_connection_end_test passes with the change.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -41,7 +41,7 @@
                                         lastBytesAt_ = monotonicNow();
                                         readRequests();
                                     },
-                                .onEnd = [this](ChannelEnd) { close(); },
+                                .onEnd = [this](ChannelEnd) { close(ConnectionEnd::CallerLeft); },
                                 .maxInputBytes = static_cast<std::size_t>(options_.limits->forRequest(now).maxBodyBytes) + (std::size_t{ 1 } << 20U) });
 }
 
@@ -124,7 +124,7 @@
         // An orderly close also shows that a response is incomplete, and delivers the data that was written before; a reset would
         // discard it.
         channel_->close();
-        close();
+        close(output.end == ResponseEnd::Close ? ConnectionEnd::Complete : ConnectionEnd::Truncated);
         return;
     }
 }
@@ -191,7 +191,7 @@
     }
     if (!reader_.hasStarted()) {
         channel_->closeUnread();
-        close();
+        close(ConnectionEnd::Stop);
         return;
     }
     // Not run, and told so: the rest of the request has not arrived.
@@ -209,7 +209,7 @@
         // A request that waits in the socket is served. One that crosses the close is reset unread, so that the caller may send it again.
         if (now - waitingSince_ > options_.limits->idleTimeout(now) && !channel_->hasUnreadInput()) {
             channel_->closeUnread();
-            close();
+            close(ConnectionEnd::Idle);
         }
         return;
     }
@@ -234,13 +234,13 @@
     return closed_;
 }
 
-void CallerConnection::close()
+void CallerConnection::close(ConnectionEnd end)
 {
     if (std::exchange(closed_, true)) {
         return;
     }
     const std::shared_ptr<CallerConnection> self = shared_from_this();
-    options_.onClosed(*this);
+    options_.onClosed(*this, end);
 }
 
 } // namespace Carobhall
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -13,12 +13,29 @@
 
 class CallerConnection;
 
+/// Why the connection of a caller ended.
+enum class ConnectionEnd : std::uint8_t {
+    CallerLeft, ///< The caller closed it, or it was reset.
+    Idle,       ///< No request for the idle limit.
+    Stop,       ///< The process stops, and no request was in progress.
+    Complete,   ///< The response was announced as the last one.
+    Truncated,  ///< A started response could not be completed.
+};
+
+template<>
+struct EnumNames<ConnectionEnd> {
+    static constexpr std::array rows{
+        EnumName{ ConnectionEnd::CallerLeft, "caller-left" }, EnumName{ ConnectionEnd::Idle, "idle" },           EnumName{ ConnectionEnd::Stop, "stop" },
+        EnumName{ ConnectionEnd::Complete, "complete" },      EnumName{ ConnectionEnd::Truncated, "truncated" },
+    };
+};
+
 struct CallerConnectionOptions {
     int descriptor = -1;
     const CallerLimitHistory *limits = nullptr; ///< Outlives the connection.
     std::function<void(const std::shared_ptr<CallerConnection> &, RequestHead, std::string body)> onRequest{};
     std::function<void(CallerConnection &, std::string_view reason)> onRejected{}; ///< A malformed or oversized request was answered with an error.
-    std::function<void(CallerConnection &)> onClosed{};                            ///< The caller or this process closed the connection.
+    std::function<void(CallerConnection &, ConnectionEnd)> onClosed{};             ///< Called once.
 };
 
 /// Not thread-safe. Held by shared_ptr. The handler of a request ends its response with respond(), respondHead(), abortResponse(), or
@@ -64,7 +81,7 @@
     /// Call before the head of a response is written.
     void prepareHead();
     void reject(unsigned status, std::string_view reason);
-    void close();
+    void close(ConnectionEnd end);
 
     CallerConnectionOptions options_;
     std::shared_ptr<Channel> channel_;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -54,7 +54,9 @@
     void checkStop(Micros now);
     void onAccept(int descriptor);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
-    void onCallerClosed(CallerConnection &caller);
+    void onCallerClosed(CallerConnection &caller, ConnectionEnd end);
+    /// Logs the idle connections that were closed since the last call, in one line.
+    void reportIdleCloses(Micros now);
     bool adoptConfig(const Json::Value &spec, std::string_view source);
     void subscribeToCacheStore();
     void onUpstream(const PlatformObject &object, Micros now);
@@ -98,6 +100,8 @@
     std::string cacheStoreAddress;
     Timer ticker;
     Micros nextLimitReportAt = 0;
+    std::uint64_t idleCloses = 0; ///< Since the last line about them.
+    std::uint64_t stopCloses = 0;
     Micros stoppingSince = 0;
     bool listenerStopped = false;
     bool stopped = false;
@@ -250,6 +254,7 @@
     for (const std::shared_ptr<CallerConnection> &caller : all) {
         caller->checkTimeouts(now);
     }
+    reportIdleCloses(now);
     if (const bool reachable = options.platform->available(); reachable != platformReachable) {
         platformReachable = reachable;
         logEvent(LogLevel::Warning, reachable ? "platform_regained" : "platform_lost", { { "address", options.settings.platformAddress } });
@@ -324,7 +329,8 @@
     for (const std::shared_ptr<CallerConnection> &caller : all) {
         caller->endForShutdown();
     }
-    logEvent(LogLevel::Info, "stopped", { { "requests_cut", unfinished.size() }, { "after_ms", elapsed / MicrosPerMilli } });
+    logEvent(LogLevel::Info, "stopped",
+             { { "requests_cut", unfinished.size() }, { "idle_connections_closed", stopCloses }, { "after_ms", elapsed / MicrosPerMilli } });
     // Further iterations of the main loop send the remaining output of the closed connections.
     ticker.startOnce(100 * MicrosPerMilli, [this] { options.onStopped(); });
 }
@@ -341,7 +347,7 @@
                 metrics.count("carobhall_rejected_messages_total", "reason=\"" + std::string(reason) + "\"");
                 logEvent(LogLevel::Info, "message_rejected", { { "reason", reason } });
             },
-        .onClosed = [this](CallerConnection &closed) { onCallerClosed(closed); },
+        .onClosed = [this](CallerConnection &closed, ConnectionEnd end) { onCallerClosed(closed, end); },
     });
     callers.insert(caller);
     if (stoppingSince != 0) {
@@ -365,8 +371,20 @@
     exchange->begin(now);
 }
 
-void Gateway::Impl::onCallerClosed(CallerConnection &caller)
+void Gateway::Impl::reportIdleCloses(Micros now)
 {
+    if (idleCloses > 0) {
+        logEvent(
+            LogLevel::Info, "connections_closed",
+            { { "reason", ConnectionEnd::Idle }, { "count", std::exchange(idleCloses, 0) }, { "limit_ms", callerLimits.idleTimeout(now) / MicrosPerMilli } });
+    }
+}
+
+void Gateway::Impl::onCallerClosed(CallerConnection &caller, ConnectionEnd end)
+{
+    metrics.count("carobhall_connections_closed_total", "reason=\"" + std::string(nameOf(end)) + "\"");
+    idleCloses += end == ConnectionEnd::Idle ? 1 : 0;
+    stopCloses += end == ConnectionEnd::Stop ? 1 : 0;
     std::vector<std::shared_ptr<Exchange>> affected;
     for (const std::shared_ptr<Exchange> &exchange : exchanges) {
         if (exchange->caller() == &caller) {
