--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Retry-After, in seconds, of a request that was read in part when the process ends. New connections reach another process at once.
+constexpr std::string_view RetryAfterStop = "0.150";
+
 ReaderLimits readerLimits(const CallerLimits &limits)
 {
     return { .maxHeaderBytes = limits.maxHeaderBytes, .maxBodyBytes = limits.maxBodyBytes };
@@ -38,7 +41,7 @@
                                         lastBytesAt_ = monotonicNow();
                                         readRequests();
                                     },
-                                .onEnd = [this](ChannelEnd) { close(); },
+                                .onEnd = [this](ChannelEnd) { close(ConnectionEnd::CallerLeft); },
                                 .maxInputBytes = static_cast<std::size_t>(options_.limits->forRequest(now).maxBodyBytes) + (std::size_t{ 1 } << 20U) });
 }
 
@@ -121,7 +124,7 @@
         // An orderly close also shows that a response is incomplete, and delivers the data that was written before; a reset would
         // discard it.
         channel_->close();
-        close();
+        close(output.end == ResponseEnd::Close ? ConnectionEnd::Complete : ConnectionEnd::Truncated);
         return;
     }
 }
@@ -172,12 +175,29 @@
     shuttingDown_ = true;
 }
 
-void CallerConnection::closeIfIdle()
+void CallerConnection::readWaiting()
+{
+    if (!closed_) {
+        channel_->readWaiting();
+    }
+}
+
+void CallerConnection::endForShutdown()
 {
-    if (!isBusy() && !closed_) {
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    readWaiting();
+    if (closed_ || writer_.isBusy()) {
+        return;
+    }
+    if (!reader_.hasStarted()) {
         channel_->closeUnread();
-        close();
+        close(ConnectionEnd::Stop);
+        return;
     }
+    // Not run, and told so: the rest of the request has not arrived.
+    writer_.beginRequest(false);
+    options_.onRejected(*this, "process_stopped");
+    respond(503, { { "Retry-After", std::string(RetryAfterStop) } }, {});
 }
 
 void CallerConnection::checkTimeouts(Micros now)
@@ -189,7 +209,7 @@
         // A request that waits in the socket is served. One that crosses the close is reset unread, so that the caller may send it again.
         if (now - waitingSince_ > options_.limits->idleTimeout(now) && !channel_->hasUnreadInput()) {
             channel_->closeUnread();
-            close();
+            close(ConnectionEnd::Idle);
         }
         return;
     }
@@ -214,13 +234,13 @@
     return closed_;
 }
 
-void CallerConnection::close()
+void CallerConnection::close(ConnectionEnd end)
 {
     if (std::exchange(closed_, true)) {
         return;
     }
     const std::shared_ptr<CallerConnection> self = shared_from_this();
-    options_.onClosed(*this);
+    options_.onClosed(*this, end);
 }
 
 } // namespace Carobhall
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -13,12 +13,29 @@
 
 class CallerConnection;
 
+/// Why the connection of a caller ended.
+enum class ConnectionEnd : std::uint8_t {
+    CallerLeft, ///< The caller closed it, or it was reset.
+    Idle,       ///< No request for the idle limit.
+    Stop,       ///< The process stops, and no request was in progress.
+    Complete,   ///< The response was announced as the last one.
+    Truncated,  ///< A started response could not be completed.
+};
+
+template<>
+struct EnumNames<ConnectionEnd> {
+    static constexpr std::array rows{
+        EnumName{ ConnectionEnd::CallerLeft, "caller-left" }, EnumName{ ConnectionEnd::Idle, "idle" },           EnumName{ ConnectionEnd::Stop, "stop" },
+        EnumName{ ConnectionEnd::Complete, "complete" },      EnumName{ ConnectionEnd::Truncated, "truncated" },
+    };
+};
+
 struct CallerConnectionOptions {
     int descriptor = -1;
     const CallerLimitHistory *limits = nullptr; ///< Outlives the connection.
     std::function<void(const std::shared_ptr<CallerConnection> &, RequestHead, std::string body)> onRequest{};
     std::function<void(CallerConnection &, std::string_view reason)> onRejected{}; ///< A malformed or oversized request was answered with an error.
-    std::function<void(CallerConnection &)> onClosed{};                            ///< The caller or this process closed the connection.
+    std::function<void(CallerConnection &, ConnectionEnd)> onClosed{};             ///< Called once.
 };
 
 /// Not thread-safe. Held by shared_ptr. The handler of a request ends its response with respond(), respondHead(), abortResponse(), or
@@ -46,8 +63,10 @@
 
     /// From now on responses carry "Connection: close" and are the last of their connection, unless a further request has arrived already.
     void beginShutdown();
-    /// Closes the connection if no request is in progress.
-    void closeIfIdle();
+    /// Reads what waits in the socket now, and hands over the requests that are complete.
+    void readWaiting();
+    /// Closes the connection if no request awaits its response. A request that has been read in part is refused.
+    void endForShutdown();
     /// Enforces the idle and read timeouts of CallerLimits.
     void checkTimeouts(Micros now);
     /// A request is being handled or read, or waits in the socket.
@@ -62,7 +81,7 @@
     /// Call before the head of a response is written.
     void prepareHead();
     void reject(unsigned status, std::string_view reason);
-    void close();
+    void close(ConnectionEnd end);
 
     CallerConnectionOptions options_;
     std::shared_ptr<Channel> channel_;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -365,8 +365,7 @@
     }
     const std::shared_ptr<Exchange> self = shared_from_this();
     cancelAttempt();
-    finish(0, "process_stopped");
-    options_.caller->abortResponse();
+    giveUp("process_stopped", RetryAfterRejected);
 }
 
 void Exchange::finish(unsigned status, std::string_view outcome)
