Keep requests away from servers that ask for a pause

What callers saw: a server that turned a request away with 503 and Retry-After went on getting requests at the full rate, each of which cost an attempt and a retry from the budget.

Cause: Retry-After in an answer of a server was only passed on, never read.

Fix: the codec decodes the time of a 503; UpstreamAvailability keeps its end by process, the longest end counts and ten minutes at most. UpstreamTable excludes the process from every choice, and UpstreamCall asks again when a new connection is established, before it writes the request; the request then goes elsewhere and the server's health is not affected. Each gateway returns at a point of its own after the end, in a quarter of the pause and a second at most, drawn once a pause, so that the gateways do not return together. While all servers of a service are paused, requests are refused at once (reason=paused), and Retry-After ends after the first return, but at a third of the caller's time at the latest, as before.

What a caller gets from such a 503 itself is unchanged: without the header that says that the request has not run, it is no promise.

Ruled out: drawing the return anew with each answer; the latest of many draws counts, which puts all gateways at the end of the spread.

--- a/packages/gateway/include/carobhall/exchange_codec.h
+++ b/packages/gateway/include/carobhall/exchange_codec.h
@@ -46,6 +46,7 @@
     std::optional<Micros> keepAlive{}; ///< Idle timeout of the connection.
     std::optional<std::uint64_t> weightsVersion{};
     bool leaving = false;                      ///< The process shuts down and takes no new requests.
+    std::optional<Micros> pause{};             ///< The process has turned the request away and takes no others for this time.
     std::optional<double> requestsPerSecond{}; ///< How many requests the upstream takes from all gateways together; empty: as many as come.
 };
 
--- a/packages/gateway/include/carobhall/upstream_availability.h
+++ b/packages/gateway/include/carobhall/upstream_availability.h
@@ -2,8 +2,9 @@
 
 // Which upstream processes take requests, by what they have said in their answers.
 //
-//     UpstreamAvailability availability;
+//     UpstreamAvailability availability(seed);
 //     availability.noteLeaving(process, now);                 // an answer announced the shutdown of the process
+//     availability.notePause(process, 2 * MicrosPerSecond, now); // an answer asked for no requests for two seconds
 //     if (availability.isAvailable(process, now)) { ... }
 //
 // Knowledge is kept by process, not by entry of the platform's list: an entry may still show the process as ready, disappear and return,
@@ -13,6 +14,7 @@
 
 #include "carobhall/base.h"
 
+#include <random>
 #include <unordered_map>
 
 namespace Carobhall
@@ -22,11 +24,25 @@
 class UpstreamAvailability
 {
 public:
+    /// The longest pause that is accepted. A longer one is a mistake: the process would be lost until somebody restarts it.
+    static constexpr Micros MaxPause = 600 * MicrosPerSecond;
+    /// The return of this process to an upstream is drawn from this share of the pause after its end, and at most from MaxReturnSpread, so
+    /// that the gateways do not all return at once.
+    static constexpr double ReturnSpreadShare = 0.25;
+    static constexpr Micros MaxReturnSpread = MicrosPerSecond;
+
+    explicit UpstreamAvailability(std::uint64_t seed = 1);
+
     /// \p process shuts down and takes no new requests, for ever. Returns false if that was known.
     bool noteLeaving(Incarnation process, Micros now);
+    /// \p process takes no requests for \p duration; at most MaxPause counts, and nothing if it is not positive. The end never moves
+    /// forward. Returns true if \p process was not paused before.
+    bool notePause(Incarnation process, Micros duration, Micros now);
     [[nodiscard]] bool isLeaving(Incarnation process) const;
     /// Whether requests may be sent to \p process.
     [[nodiscard]] bool isAvailable(Incarnation process, Micros now) const;
+    /// Time until requests may be sent to \p process again; 0: now; empty: never.
+    [[nodiscard]] std::optional<Micros> timeToAvailable(Incarnation process, Micros now) const;
     /// Number of processes of which something is known.
     [[nodiscard]] std::size_t size() const;
 
@@ -37,10 +53,13 @@
 
     struct State {
         std::optional<Micros> leavingSince{};
+        Micros pausedUntil = 0;   ///< Includes this gateway's part of the spread.
+        double returnPoint = 0.0; ///< Where in the spread this gateway returns, 0 to 1; drawn once a pause.
     };
 
     void expire(Micros now);
 
+    std::mt19937_64 random_;
     std::unordered_map<Incarnation, State> states_;
     Micros nextExpiryAt_ = 0;
 };
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -107,6 +107,7 @@
     NoUpstream, ///< No upstream is listed, or all are closed.
     Full,       ///< No upstream can start the request within the wait limit.
     Limited,    ///< The upstreams that could are at the limits that they have named.
+    Paused,     ///< All upstreams have asked for a pause.
 };
 
 template<>
@@ -115,6 +116,7 @@
         EnumName{ RefusalReason::NoUpstream, "no_upstream" },
         EnumName{ RefusalReason::Full, "full" },
         EnumName{ RefusalReason::Limited, "limited" },
+        EnumName{ RefusalReason::Paused, "paused" },
     };
 };
 
@@ -200,6 +202,9 @@
     [[nodiscard]] bool isShuttingDown(const Upstream &upstream) const;
     /// Whether requests may be sent to \p upstream if the platform lists it.
     [[nodiscard]] bool isUsable(const Upstream &upstream, Micros now) const;
+    /// Time until the first of the upstreams of \p service that have asked for a pause takes requests again; 0 if one takes them now, or if
+    /// none is paused.
+    [[nodiscard]] Micros timeToAvailable(std::string_view service, Micros now) const;
     /// The process at \p ip that has started at \p startedAtMs (Unix time) shuts down. Returns the upstream if that was not known, or nullptr.
     UpstreamRef noteEngineLeaving(std::string_view ip, std::int64_t startedAtMs, Micros now);
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -206,7 +206,9 @@
 {
     // Jitter of 50 to 150 percent, so that refused callers do not return at the same time.
     const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(*options_.context->random);
-    const auto delay = static_cast<Micros>(static_cast<double>(base) * factor);
+    // A caller that returns while all upstreams are paused would only be refused again.
+    const Micros pause = service_ != nullptr ? options_.context->upstreams->timeToAvailable(service_->name, monotonicNow()) : 0;
+    const auto delay = pause + static_cast<Micros>(static_cast<double>(base) * factor);
     // Callers honour a Retry-After of at most a third of their remaining time.
     const Micros remaining = request_.timeout ? arrivedAt_ + *request_.timeout - monotonicNow() : delay * 3;
     return std::clamp<Micros>(delay, 0, std::max<Micros>(0, remaining / 3));
@@ -220,8 +222,12 @@
     case RefusalReason::Limited:
         return { .reason = nameOf(reason), .retryAfter = std::max(RetryAfterRejected, options_.context->upstreams->timeToPermit(service_->name, now)) };
     case RefusalReason::NoUpstream:
+    case RefusalReason::Paused:
         break;
     }
+    if (options_.context->upstreams->timeToAvailable(service_->name, now) > 0) {
+        return { .reason = nameOf(RefusalReason::Paused), .retryAfter = RetryAfterFull };
+    }
     return { .reason = nameOf(reason), .retryAfter = retryAfterNoUpstream };
 }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -110,7 +110,7 @@
     , random(drawIncarnation())
     , upstreams({ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone }, random(), options.settings.weightsDeadline,
                 options.settings.name)
-    , pool({})
+    , pool({ .maySend = [this](const Upstream &upstream) { return upstreams.isUsable(upstream, monotonicNow()); } })
     , retries({ .ratio = options.settings.retryRatio, .allowance = options.settings.retryAllowance, .window = options.settings.retryWindow })
     , poisonRequests(random())
     , crashProbe([this](const Upstream &upstream) { noteCrashed(upstream.record, "refused", monotonicNow()); })
--- a/packages/gateway/src/upstream_availability.cpp
+++ b/packages/gateway/src/upstream_availability.cpp
@@ -1,8 +1,15 @@
 #include "carobhall/upstream_availability.h"
 
+#include <algorithm>
+
 namespace Carobhall
 {
 
+UpstreamAvailability::UpstreamAvailability(std::uint64_t seed)
+    : random_(seed)
+{
+}
+
 bool UpstreamAvailability::noteLeaving(Incarnation process, Micros now)
 {
     expire(now);
@@ -12,15 +19,45 @@
     return isNew;
 }
 
+bool UpstreamAvailability::notePause(Incarnation process, Micros duration, Micros now)
+{
+    if (duration <= 0) {
+        return false;
+    }
+    expire(now);
+    State &state = states_[process];
+    const bool isNew = state.pausedUntil <= now;
+    if (isNew) {
+        // Drawn once: of several answers with the same end, the latest return would count, which is late for all gateways alike.
+        state.returnPoint = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
+    }
+    const Micros pause = std::min(duration, MaxPause);
+    const Micros spread = std::min(MaxReturnSpread, static_cast<Micros>(static_cast<double>(pause) * ReturnSpreadShare));
+    state.pausedUntil = std::max(state.pausedUntil, now + pause + static_cast<Micros>(static_cast<double>(spread) * state.returnPoint));
+    return isNew;
+}
+
 bool UpstreamAvailability::isLeaving(Incarnation process) const
 {
     const auto found = states_.find(process);
     return found != states_.end() && found->second.leavingSince;
 }
 
-bool UpstreamAvailability::isAvailable(Incarnation process, Micros /*now*/) const
+bool UpstreamAvailability::isAvailable(Incarnation process, Micros now) const
 {
-    return !isLeaving(process);
+    return timeToAvailable(process, now) == Micros{ 0 };
+}
+
+std::optional<Micros> UpstreamAvailability::timeToAvailable(Incarnation process, Micros now) const
+{
+    const auto found = states_.find(process);
+    if (found == states_.end()) {
+        return 0;
+    }
+    if (found->second.leavingSince) {
+        return std::nullopt;
+    }
+    return std::max<Micros>(0, found->second.pausedUntil - now);
 }
 
 std::size_t UpstreamAvailability::size() const
@@ -34,7 +71,10 @@
         return;
     }
     nextExpiryAt_ = now + ExpiryInterval;
-    std::erase_if(states_, [now](const auto &entry) { return entry.second.leavingSince && now - *entry.second.leavingSince > LeavingRetention; });
+    std::erase_if(states_, [now](const auto &entry) {
+        const State &state = entry.second;
+        return state.leavingSince ? now - *state.leavingSince > LeavingRetention : state.pausedUntil <= now;
+    });
 }
 
 } // namespace Carobhall
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -97,6 +97,7 @@
     const auto onData = [this] { this->onData(); };
     const auto onEnd = [this](ChannelEnd reason) { onChannelEnd(reason); };
     if (channel_) {
+        isConnected_ = true;
         channel_->setCallbacks(onData, onEnd);
         return ConnectResult::Connected;
     }
@@ -113,9 +114,14 @@
 
 void UpstreamCall::onOpen()
 {
+    const std::shared_ptr<UpstreamCall> self = shared_from_this();
     connectTimer_.stop();
-    if (!requestSent_ && options_.onConnected) {
-        const std::shared_ptr<UpstreamCall> self = shared_from_this();
+    isConnected_ = true;
+    if (const auto &maySend = options_.pool->options().maySend; maySend && !maySend(*options_.upstream)) {
+        finish(CallEnd::NotSent);
+    } else if (requestSent_) {
+        channel_->write(std::exchange(unsentRequest_, {}));
+    } else if (options_.onConnected) {
         options_.onConnected();
     }
 }
@@ -123,7 +129,11 @@
 void UpstreamCall::send(std::string_view bytes)
 {
     requestSent_ = true;
-    channel_->write(bytes);
+    if (isConnected_) {
+        channel_->write(bytes);
+    } else {
+        unsentRequest_ = bytes;
+    }
 }
 
 void UpstreamCall::cancel()
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -23,6 +23,8 @@
     /// upstream closing it.
     double keepAliveShare = 0.6;
     std::size_t maxIdlePerUpstream = 24;
+    /// Asked when a new connection is established; false: the call ends with CallEnd::NotSent. May be empty.
+    std::function<bool(const Upstream &upstream)> maySend{};
 };
 
 /// Idle connections by upstream process. Not thread-safe.
@@ -130,10 +132,12 @@
 
     UpstreamCallOptions options_;
     std::shared_ptr<Channel> channel_;
+    std::string unsentRequest_; ///< Kept until the connection is established.
     ResponseReader reader_;
     UpstreamResponse response_;
     Timer connectTimer_;
     bool usedIdle_ = false;
+    bool isConnected_ = false;
     bool requestSent_ = false; ///< send() was called.
     bool headReceived_ = false;
     bool reusable_ = true;
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -94,6 +94,7 @@
     , random_(seed)
     , weightsDeadline_(weightsDeadline)
     , limits_({ .gateway = std::move(gateway), .seed = seed })
+    , availability_(seed)
 {
 }
 
@@ -379,6 +380,19 @@
     return !upstream.replaced && !upstream.record.draining && availability_.isAvailable(upstream.process, now);
 }
 
+Micros UpstreamTable::timeToAvailable(std::string_view service, Micros now) const
+{
+    std::optional<Micros> shortest{};
+    for (const auto &[id, upstream] : byId_) {
+        if (upstream->present && !upstream->replaced && !upstream->record.draining && upstream->record.service == service) {
+            if (const auto time = availability_.timeToAvailable(upstream->process, now)) {
+                shortest = std::min(shortest.value_or(*time), *time);
+            }
+        }
+    }
+    return shortest.value_or(0);
+}
+
 UpstreamRef UpstreamTable::noteEngineLeaving(std::string_view ip, std::int64_t startedAtMs, Micros now)
 {
     const auto found = byIp_.find(ip);
@@ -612,6 +626,10 @@
 void UpstreamTable::noteAttemptEnded(Upstream &upstream, AttemptResult result, Micros elapsed, Micros now)
 {
     upstream.inFlight -= std::min<std::uint32_t>(upstream.inFlight, 1);
+    if (result == AttemptResult::Unreachable && !availability_.isAvailable(upstream.process, now)) {
+        // The request was held back because the upstream has asked for it.
+        return;
+    }
     switch (result) {
     case AttemptResult::Served:
         upstream.consecutiveFailures = 0;
--- a/packages/gateway/tests/upstream_availability_test.cpp
+++ b/packages/gateway/tests/upstream_availability_test.cpp
@@ -231,3 +231,173 @@
     BOOST_TEST(availability.isLeaving(200));
     BOOST_TEST(availability.size() == 2U);
 }
+
+namespace
+{
+
+/// The load of a service whose servers turn requests away and ask for pauses. Connections take up to 0.8 s.
+class PauseLoad
+{
+public:
+    explicit PauseLoad(std::uint64_t seed)
+        : random_(seed)
+    {
+        service_.name = "desk";
+        for (std::size_t i = 0; i < Gateways; ++i) {
+            tables_.push_back(std::make_unique<UpstreamTable>(Locality{ .zone = "a", .regionOfZone = { { "a", "east" } } }, random_()));
+            for (std::size_t server = 0; server < Servers; ++server) {
+                tables_[i]->update({ .id = "s" + std::to_string(server),
+                                     .service = "desk",
+                                     .address = "10.0.0." + std::to_string(server + 1) + ":80",
+                                     .zone = "a",
+                                     .slots = 6,
+                                     .startedAtMs = 1 });
+            }
+        }
+    }
+
+    void run(Micros length)
+    {
+        for (; now_ < length; now_ += Step) {
+            for (Server &server : servers_) {
+                if (now_ >= server.pausedUntil && uniform(0.0, 1.0) < 0.001) {
+                    server.pausedUntil = now_ + static_cast<Micros>(uniform(0.6, 4.0) * Second);
+                }
+            }
+            std::erase_if(calls_, [this](const Call &call) {
+                if (call.at <= now_) {
+                    arrive(call);
+                }
+                return call.at <= now_;
+            });
+            for (std::size_t gateway = 0; gateway < Gateways; ++gateway) {
+                if (uniform(0.0, 1.0) < 0.4) {
+                    send(gateway);
+                }
+            }
+        }
+    }
+
+    unsigned arrivals = 0;
+    unsigned early = 0;         ///< Arrivals later than half a second after a server's answer and before the end of its pause.
+    unsigned pauses = 0;        ///< Answers that asked for a pause.
+    unsigned wrongRefusals = 0; ///< Refusals without a time, or with one that ends before the first server returns.
+
+private:
+    static constexpr Micros GraceTime = 500 * Milli;
+
+    struct Server {
+        Micros pausedUntil = 0;
+        /// By gateway: when the first answer of the pause was given, and its end.
+        std::array<std::pair<Micros, Micros>, Gateways> told{};
+    };
+    struct Call {
+        Micros at = 0; ///< When the connection is established.
+        std::size_t gateway = 0;
+        UpstreamRef upstream{};
+    };
+
+    double uniform(double from, double to)
+    {
+        return std::uniform_real_distribution<double>(from, to)(random_);
+    }
+
+    void send(std::size_t gateway)
+    {
+        UpstreamTable &table = *tables_[gateway];
+        if (UpstreamRef chosen = table.choosePlainUpstream(service_, {}, now_)) {
+            table.noteAttemptStarted(*chosen, 0, 0);
+            const bool isSlow = uniform(0.0, 1.0) < 0.1;
+            calls_.push_back(
+                { .at = now_ + (isSlow ? static_cast<Micros>(uniform(0.0, 0.8) * Second) : 0), .gateway = gateway, .upstream = std::move(chosen) });
+            return;
+        }
+        Micros firstReturn = std::numeric_limits<Micros>::max();
+        for (const Server &server : servers_) {
+            firstReturn = std::min(firstReturn, server.told.at(gateway).second);
+        }
+        wrongRefusals += now_ + table.timeToAvailable(service_.name, now_) < firstReturn ? 1 : 0;
+    }
+
+    void arrive(const Call &call)
+    {
+        UpstreamTable &table = *tables_[call.gateway];
+        if (!table.isUsable(*call.upstream, now_)) {
+            table.noteAttemptEnded(*call.upstream, AttemptResult::Unreachable, 0, now_);
+            return;
+        }
+        ++arrivals;
+        Server &server = servers_.at(call.upstream->number);
+        auto &[toldAt, end] = server.told.at(call.gateway);
+        early += now_ > toldAt + GraceTime && now_ < end ? 1 : 0;
+        if (now_ < server.pausedUntil) {
+            ++pauses;
+            toldAt = now_ < end ? toldAt : now_;
+            end = server.pausedUntil;
+            (void)table.availability().notePause(call.upstream->process, end - now_, now_);
+        }
+        table.noteAttemptEnded(*call.upstream, AttemptResult::Served, 20 * Milli, now_);
+    }
+
+    std::mt19937_64 random_;
+    Service service_;
+    Micros now_ = Second;
+    std::array<Server, Servers> servers_{};
+    std::vector<std::unique_ptr<UpstreamTable>> tables_;
+    std::vector<Call> calls_;
+};
+
+} // namespace
+
+// Guards against requests to a server during the pause that it has asked for, also on connections that were being established when it did, and against
+// refusals that send callers back before the first server returns.
+BOOST_AUTO_TEST_CASE(pausedServersGetNoRequests)
+{
+    for (std::uint64_t run = 0; run < 3; ++run) {
+        PauseLoad load(seedOfRun(20261210) + run);
+        load.run(40 * Second);
+        BOOST_TEST_MESSAGE("arrivals " << load.arrivals << ", early " << load.early << ", pauses " << load.pauses);
+        BOOST_TEST(load.early == 0U);
+        BOOST_TEST(load.wrongRefusals == 0U);
+        BOOST_TEST(load.pauses > 10U);
+        BOOST_TEST(load.arrivals > 1'000U);
+    }
+}
+
+// Guards against gateways that all return to a server at the same instant, and against a return that moves with each answer.
+BOOST_AUTO_TEST_CASE(gatewaysReturnToAPausedServerOneAfterTheOther)
+{
+    constexpr Micros Pause = 2 * Second;
+    constexpr std::size_t Count = 60;
+    std::vector<Micros> returns;
+    for (std::size_t gateway = 0; gateway < Count; ++gateway) {
+        UpstreamAvailability availability(seedOfRun(20261211) + gateway);
+        for (Micros now = Second; now < 2 * Second; now += 100 * Milli) {
+            BOOST_TEST(availability.notePause(1, 3 * Second - now, now) == (now == Second));
+        }
+        returns.push_back(2 * Second + *availability.timeToAvailable(1, 2 * Second));
+        BOOST_TEST(returns.back() >= Second + Pause);
+    }
+    std::ranges::sort(returns);
+    BOOST_TEST(returns.back() <= Second + Pause + UpstreamAvailability::MaxReturnSpread);
+    for (std::size_t i = Count / 3; i < Count; ++i) {
+        BOOST_TEST(returns[i] - returns[i - Count / 3] >= 20 * Milli);
+    }
+}
+
+// Guards against a server that is lost for good after a pause that is absurdly long, and against one that a later answer returns too early.
+BOOST_AUTO_TEST_CASE(pausesAreBoundedAndTheLongestCounts)
+{
+    UpstreamAvailability availability;
+    BOOST_TEST(!availability.notePause(1, -5 * Second, Second));
+    BOOST_TEST(!availability.notePause(1, 0, Second));
+    BOOST_TEST(availability.isAvailable(1, Second));
+    (void)availability.notePause(1, 10 * Second, Second);
+    (void)availability.notePause(1, Second, 2 * Second);
+    BOOST_TEST(!availability.isAvailable(1, 11 * Second - 1));
+    BOOST_TEST(availability.isAvailable(1, 12 * Second));
+    (void)availability.notePause(2, 1'000'000 * Second, Second);
+    BOOST_TEST(availability.isAvailable(2, Second + UpstreamAvailability::MaxPause + UpstreamAvailability::MaxReturnSpread));
+    (void)availability.notePause(3, Second, 2'000 * Second);
+    BOOST_TEST(availability.size() == 1U);
+}
