--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -71,8 +71,12 @@
     case RefusalReason::Limited:
         return { .reason = nameOf(reason), .retryAfter = std::max(RetryAfterRejected, options_.context->upstreams->timeToPermit(service_->name, now)) };
     case RefusalReason::NoUpstream:
+    case RefusalReason::Paused:
         break;
     }
+    if (options_.context->upstreams->timeToAvailable(service_->name, now) > 0) {
+        return { .reason = nameOf(RefusalReason::Paused), .retryAfter = RetryAfterFull };
+    }
     return { .reason = nameOf(reason), .retryAfter = retryAfterNoUpstream };
 }
 
