Skip refusals without an id on connections in use again

Callers were told "not run" for requests that the server ran, and such requests ran at a second server: a faulty server had written an earlier refusal once more on a kept connection, without the request id.

Cause: a response without an id that is neither a success nor sealed was taken for the answer to the request under way, also if it says that the request has not run.

Servers echo the id, so on a connection that has carried an earlier request such a refusal is skipped like other stale responses, and the answer that follows counts. On a new connection it can only belong to the request and is believed as before, as it is for a request without an id.

--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -179,7 +179,9 @@
         if (!headReceived_ && !skipping_ && reader_.hasHead()) {
             response_ = options_.codec->decodeResponse(reader_.head());
             const bool success = reader_.head().status >= 200 && reader_.head().status < 300;
-            const bool isStale = response_.requestId.empty() ? success || response_.authentic : response_.requestId != options_.requestId;
+            // On a connection that has carried an earlier request, a refusal without an id may be a copy of that request's.
+            const bool mayBeCopy = usedIdle_ && !options_.requestId.empty() && (response_.rejected || response_.misdirected);
+            const bool isStale = response_.requestId.empty() ? success || response_.authentic || mayBeCopy : response_.requestId != options_.requestId;
             if (isStale) {
                 // A late duplicate response to an earlier request. The response to this request may follow.
                 skipping_ = true;
