Resume a broken stream only with its next events

Beside a stream that had broken off, callers got the events of an answer that is no event stream, events of a run that began again or repeated one, or a clean end though the next server had sent no event.

Cause: a sealed answer with status 200 to the second attempt was forwarded whatever its type and ids, and an attempt without events ended the stream as complete if an earlier one had started it.

A resumed attempt must be text/event-stream, its first ids must follow the last one forwarded, and it must contribute an event; else it has failed.

Evidence: aBrokenStreamGoesOnOnlyWithItsNextEvents plays thirteen answers after two events, cut between or inside events, by reset or close. On the code before four answers fail in all four ways: text/plain that looks like events, events from the first again, one event repeated, an empty stream. All pass now. Ruled out: 500, 503 with and without seal, 400, 404, a huge error, an encoded body. A stream that broke off after its last event and before its end is cut visibly even if the next server has nothing to add.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -77,6 +78,21 @@
     return status >= 200 && status < 300;
 }
 
+bool isEventStream(const ResponseHead &head)
+{
+    return findField(head.fields, "Content-Type").value_or("").starts_with("text/event-stream");
+}
+
+/// Whether the event \p id may follow \p last in a stream. Ids increase; those that are no numbers are not compared.
+bool follows(std::string_view id, std::string_view last)
+{
+    std::uint64_t number = 0;
+    std::uint64_t lastNumber = 0;
+    const bool comparable = std::from_chars(id.data(), id.data() + id.size(), number).ec == std::errc()
+        && std::from_chars(last.data(), last.data() + last.size(), lastNumber).ec == std::errc();
+    return !comparable || number > lastNumber;
+}
+
 } // namespace
 
 /// One attempt at one upstream.
@@ -321,6 +337,7 @@
         options_.context->upstreams->notePrefillStarted(*current.upstream, current.choice.salt, request_.parts, now);
     }
     events_ = {};
+    attemptForwards_ = false;
     body_.clear();
     current.lastProgressAt = now;
     current.instructions.timeout = deadline_ - now - ReturnMargin;
@@ -473,6 +490,11 @@
 
 void Exchange::forwardEvents()
 {
+    const bool resumed = options_.caller->hasStartedStream() && !attemptForwards_;
+    if (resumed && !isEventStream(attempt_->call->head())) {
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "no_event_stream");
+        return;
+    }
     if (!events_.add(attempt_->call->takeBody())) {
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "event_too_long");
         return;
@@ -486,6 +508,11 @@
             options_.context->upstreams->notePromptCached(*attempt_->upstream, attempt_->choice.salt, request_.parts, now);
         }
         if (event->id) {
+            if (resumed && !follows(*event->id, lastEventId_)) {
+                // The server has begun the stream again instead of resuming it.
+                onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "not_resumed");
+                return;
+            }
             lastEventId_ = *event->id;
         }
         if (event->hasData || event->id) {
@@ -506,6 +533,7 @@
         options_.context->metrics->observe("carobhall_first_event_seconds", "route=\"" + route_->name + "\"", now - arrivedAt_);
         options_.caller->startStream(attempt_->call->head().status, forwardedFields(attempt_->call->head()));
     }
+    attemptForwards_ = true;
     options_.caller->sendStream(out);
 }
 
@@ -580,7 +608,7 @@
 
 void Exchange::onStreamEnd()
 {
-    if (!options_.caller->hasStartedStream() || events_.hasPartialEvent()) {
+    if (!attemptForwards_ || events_.hasPartialEvent()) {
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "stream_without_end");
         return;
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -137,6 +137,7 @@
     Timer deadlineTimer_;
     Timer inactivityTimer_;
     EventSplitter events_;
+    bool attemptForwards_ = false; ///< The current attempt has contributed events to the response.
     std::string lastEventId_;
     Micros firstEventAt_ = 0;
     std::string body_;                     ///< Body of a response that is not streamed.
