--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -178,6 +178,7 @@
         options_.context->upstreams->notePrefillStarted(*current.upstream, current.choice.salt, request_.parts, now);
     }
     events_ = {};
+    attemptForwards_ = false;
     body_.clear();
     current.lastProgressAt = now;
     current.instructions.timeout = deadline_ - now - ReturnMargin;
