Qualify the versions of the platform's objects by its era

Cause: a restored store counts its revisions on from those of the copy and gives them out again, for other writes. ObjectWatcher rejected lists below the revision it knew as stale, skipped objects whose revision was not higher than the one it knew, and continued a watch from a revision that meant another write. `list_failed version=16 before=17` and the list with revision 17 that delivered nothing show this.

A version now contains the era beside the revision (versionOf()). All comparisons of versions stay as they are, and those of a newer era are higher. PlatformClient follows it: a newer era, from any reply or from a peer, ends all watches, late replies of an earlier era count as lost, and a conditional write on a base of an earlier era is a conflict, also if it has waited for the call budget meanwhile: the store compares revisions only, and one that was given out again matches. ObjectWatcher lists anew and delivers everything again. The copy lacks what was created after it, and its writers write it again, so that such objects count as deleted only if a list that was requested after a grace of 2.5 s lacks them too; a list repeated within the grace, for another reason, does not end it. The grace ends with a list and not with a timer, so that a process that was frozen or cut off does not take old contents for settled. Objects tell whether they were written in the era, and onSettled reports those of the copy that nobody has written again.

--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -31,12 +31,36 @@
 
 inline constexpr std::size_t PlatformValueLimit = std::size_t{ 1 } << 20U; ///< Maximum size of one value in bytes.
 
+// A platform that is restored from a copy loses its newest writes, and counts its revisions on from those of the copy: a revision is given out
+// again, for another write. Each restore begins a new era. A version contains the era beside the revision, so that versions of different
+// eras are never equal and those of the newer era are higher.
+
+inline constexpr unsigned RevisionBits = 48;
+
+/// The version of \p revision in \p era. A platform that names no era has era 0. Precondition: the revision has at most RevisionBits.
+[[nodiscard]] constexpr std::uint64_t versionOf(std::uint64_t era, std::uint64_t revision)
+{
+    return (era << RevisionBits) | revision;
+}
+
+[[nodiscard]] constexpr std::uint64_t eraOf(std::uint64_t version)
+{
+    return version >> RevisionBits;
+}
+
+[[nodiscard]] constexpr std::uint64_t revisionOf(std::uint64_t version)
+{
+    return version & ((std::uint64_t{ 1 } << RevisionBits) - 1);
+}
+
 struct PlatformObject {
     std::string kind;
     std::string name;
     std::string uid;           ///< Changes when an object is deleted and created again under the same name.
-    std::uint64_t version = 0; ///< Increases with each write to any object of the platform.
+    std::uint64_t version = 0; ///< Increases with each write to any object of the platform; see versionOf().
     Json::Value spec;
+    /// ObjectWatcher: the object was written in the era of its version. False: this is not known, so that it may be the copy of an earlier era.
+    bool isWrittenInEra = false;
 };
 
 enum class PlatformVerb : std::uint8_t { Get, List, Create, Update, Delete };
@@ -74,6 +98,7 @@
     PlatformObject object;             ///< Set for Get, Create and Update.
     std::vector<PlatformObject> items; ///< Set for List.
     std::uint64_t listVersion = 0;     ///< Set for List: the version from which a watch continues.
+    std::uint64_t era = 0;             ///< The platform's era when it replied; 0: it did not reply, or names no era.
 };
 
 using ReplyHandler = std::function<void(PlatformReply, Micros now)>;
@@ -83,21 +108,21 @@
     Deleted, ///< The object was deleted; `object.version` is the version of the deletion.
     Gone,    ///< The watch has ended because the requested start version is no longer available.
     Closed,  ///< The watch has ended for any other reason.
+    Alive,   ///< The platform has replied. Precedes the events of the reply; there may be none.
 };
 
 template<>
 struct EnumNames<WatchEventType> {
     static constexpr std::array rows{
-        EnumName{ WatchEventType::Put, "put" },
-        EnumName{ WatchEventType::Deleted, "deleted" },
-        EnumName{ WatchEventType::Gone, "gone" },
-        EnumName{ WatchEventType::Closed, "closed" },
+        EnumName{ WatchEventType::Put, "put" },       EnumName{ WatchEventType::Deleted, "deleted" }, EnumName{ WatchEventType::Gone, "gone" },
+        EnumName{ WatchEventType::Closed, "closed" }, EnumName{ WatchEventType::Alive, "alive" },
     };
 };
 
 struct WatchEvent {
     WatchEventType type = WatchEventType::Closed;
     PlatformObject object;
+    std::uint64_t era = 0; ///< As in PlatformReply.
 };
 
 using WatchHandler = std::function<void(WatchEvent, Micros now)>;
@@ -210,10 +235,15 @@
     std::uint64_t lateReplies = 0;
     std::uint64_t inDoubt = 0;    ///< Conditional writes that were read back because the reply left their outcome unknown.
     std::uint64_t unresolved = 0; ///< Conditional writes whose outcome was still unknown at their deadline.
+    std::uint64_t restores = 0;   ///< Times that a newer era was noticed.
 };
 
 /// Makes all calls of a process to the platform. Not thread-safe. The transport must outlive the client. Replies that arrive
 /// after the client was destroyed are dropped.
+///
+/// The client follows the platform's era. When any reply, or a peer, shows a newer one, all watches end with Gone, because they may have
+/// missed changes. Replies of an earlier era are treated as lost. A conditional write whose base version is of an earlier era is refused
+/// as a conflict without a call.
 class PlatformClient
 {
 public:
@@ -247,6 +277,14 @@
     WatchId watch(std::string kind, std::uint64_t from, Micros now, WatchHandler onEvent);
     void cancelWatch(WatchId id);
 
+    /// A peer has seen the platform in \p era. Ends the watches if the era is new to this process.
+    void noteEra(std::uint64_t era, Micros now);
+    /// The newest era that this process knows of; 0: none.
+    [[nodiscard]] std::uint64_t era() const;
+    /// Registers \p listener, which is called after each change to a newer era for the lifetime of the client. Not called for the first
+    /// era that the process learns of.
+    void onRestored(std::function<void(Micros now)> listener);
+
     /// Sets the number of processes that currently make calls. Each gets an equal share of the fleet's call rates.
     void setClientCount(double clientCount, Micros now);
 
@@ -284,8 +322,15 @@
     Micros relistEvery = 30 * MicrosPerSecond; ///< Interval of full lists, which detect an open watch without events. Jittered by up to half.
     Micros retryBase = 100 * MicrosPerMilli;
     Micros retryCap = MicrosPerSecond;
-    std::function<void(const PlatformObject &, Micros now)> onObject;     ///< Called once for each newer version, in order.
+    /// Time from the first list of an era until objects that the copy lacked and that nobody has written again count as deleted, and until the
+    /// objects of the copy count as settled.
+    Micros restoreGrace = 2500 * MicrosPerMilli;
+    /// Called once for each newer version, in order, and again for all objects of the first list of an era.
+    std::function<void(const PlatformObject &, Micros now)> onObject;
     std::function<void(const std::string &name, Micros now)> onDeleted{}; ///< May be empty.
+    /// Called for each object of the first list of an era that has the same version in a list requested after restoreGrace: nobody has written
+    /// it again. If set, this is also found out for the era in which the watcher starts. May be empty.
+    std::function<void(const PlatformObject &, Micros now)> onSettled{};
 };
 
 /// Reports changes to the objects of one kind. Not thread-safe. The client must outlive it.
--- a/packages/state/src/platform.cpp
+++ b/packages/state/src/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <utility>
 
 namespace Carobhall
 {
@@ -94,6 +95,7 @@
         ReplyHandler done;
         Micros deadline = 0;
         bool write = false;
+        std::uint64_t baseVersion = 0;
     };
     struct Timer {
         Micros at = 0;
@@ -131,6 +133,8 @@
     void readBack(const std::shared_ptr<Write> &write, Micros now);
     void onReadBack(const std::shared_ptr<Write> &write, PlatformReply reply, Micros now);
     void retry(const std::shared_ptr<Write> &write, void (Impl::*step)(const std::shared_ptr<Write> &, Micros), Micros now);
+    void noteEra(std::uint64_t seen, Micros now);
+    [[nodiscard]] bool isOfEarlierEra(std::uint64_t seen) const;
 
     Calls transport;
     PlatformClientOptions options;
@@ -142,7 +146,9 @@
     std::deque<QueuedCall> queued;
     std::map<std::uint64_t, InFlightCall> inFlight;
     std::vector<Timer> timers;
-    std::vector<WatchId> openWatches;
+    std::map<WatchId, WatchHandler> openWatches;
+    std::vector<std::function<void(Micros)>> restoreListeners;
+    std::uint64_t era = 0;
     std::uint64_t lastCall = 0;
     std::uint64_t lastWrite = 0;
     Micros chargedAt = 0;
@@ -153,8 +159,37 @@
     timers.push_back({ .at = 0, .run = [done = std::move(done), reply = std::move(reply)](Micros now) { done(reply, now); } });
 }
 
+void PlatformClient::Impl::noteEra(std::uint64_t seen, Micros now)
+{
+    if (seen <= era) {
+        return;
+    }
+    const std::uint64_t before = std::exchange(era, seen);
+    if (before == 0) {
+        return;
+    }
+    ++stats.restores;
+    logEvent(LogLevel::Warning, "platform_restored", { { "era", era }, { "before", before }, { "watches", openWatches.size() } });
+    for (const auto &[id, handler] : std::exchange(openWatches, {})) {
+        transport.cancelWatch(id);
+        handler({ .type = WatchEventType::Gone, .object = {}, .era = seen }, now);
+    }
+    for (const auto &listener : restoreListeners) {
+        listener(now);
+    }
+}
+
+bool PlatformClient::Impl::isOfEarlierEra(std::uint64_t seen) const
+{
+    return seen != 0 && seen < era;
+}
+
 void PlatformClient::Impl::call(PlatformCall call, Micros now, ReplyHandler done)
 {
+    if (isOfEarlierEra(eraOf(call.baseVersion))) {
+        deferReply(std::move(done), failure(Errc::Conflict, Verdict::NotRun));
+        return;
+    }
     if (!breaker.allow(now)) {
         ++stats.refused;
         deferReply(std::move(done), failure(Errc::PlatformUnavailable, Verdict::NotRun));
@@ -181,7 +216,7 @@
     }
     ++(write ? stats.writes : stats.reads);
     const std::uint64_t id = ++lastCall;
-    inFlight[id] = { .done = std::move(entry.done), .deadline = now + options.callTimeout, .write = write };
+    inFlight[id] = { .done = std::move(entry.done), .deadline = now + options.callTimeout, .write = write, .baseVersion = entry.call.baseVersion };
     transport.call(std::move(entry.call), [weak = weak_from_this(), id](PlatformReply reply, Micros at) {
         if (const auto self = weak.lock()) {
             self->onReply(id, std::move(reply), at);
@@ -197,14 +232,22 @@
     } else {
         breaker.succeeded();
     }
+    noteEra(reply.era, now);
     const auto found = inFlight.find(id);
     if (found == inFlight.end()) {
         ++stats.lateReplies;
         return;
     }
-    const ReplyHandler done = std::move(found->second.done);
+    const InFlightCall call = std::move(found->second);
     inFlight.erase(found);
-    done(std::move(reply), now);
+    if (isOfEarlierEra(reply.era)) {
+        // What it shows, or has written, may be lost.
+        reply = failure(Errc::ConnectionLost, call.write ? Verdict::MayHaveRun : Verdict::NotRun);
+    } else if (!reply.error && isOfEarlierEra(eraOf(call.baseVersion))) {
+        // The write took effect on a revision of the new era that is not the one it was meant for.
+        reply = failure(Errc::Conflict, Verdict::MayHaveRun);
+    }
+    call.done(std::move(reply), now);
 }
 
 void PlatformClient::Impl::expireInFlight(Micros now)
@@ -232,6 +275,9 @@
             ++stats.refused;
             breaker.withdrawTrial();
             deferReply(std::move(queued.front().done), failure(Errc::Overloaded, Verdict::NotRun));
+        } else if (isOfEarlierEra(eraOf(queued.front().call.baseVersion))) {
+            breaker.withdrawTrial();
+            deferReply(std::move(queued.front().done), failure(Errc::Conflict, Verdict::NotRun));
         } else if (!send(queued.front(), now)) {
             return;
         }
@@ -337,7 +383,7 @@
 
 PlatformClient::~PlatformClient()
 {
-    for (const WatchId id : impl_->openWatches) {
+    for (const auto &[id, handler] : impl_->openWatches) {
         impl_->transport.cancelWatch(id);
     }
 }
@@ -366,27 +412,48 @@
     impl_->reads.charge(1.0, now);
     ++impl_->stats.watches;
     const auto id = std::make_shared<WatchId>(0);
-    *id = impl_->transport.watch(std::move(kind), from, [weak = impl_->weak_from_this(), id, onEvent = std::move(onEvent)](WatchEvent event, Micros at) {
+    *id = impl_->transport.watch(std::move(kind), from, [weak = impl_->weak_from_this(), id](WatchEvent event, Micros at) {
         const auto self = weak.lock();
         if (!self) {
             return;
         }
+        self->noteEra(event.era, at);
+        const auto open = self->openWatches.find(*id);
+        if (open == self->openWatches.end() || self->isOfEarlierEra(event.era)) {
+            return;
+        }
+        const WatchHandler handler = open->second;
         if (event.type == WatchEventType::Closed || event.type == WatchEventType::Gone) {
-            std::erase(self->openWatches, *id);
+            self->openWatches.erase(open);
         }
-        onEvent(std::move(event), at);
+        handler(std::move(event), at);
     });
-    impl_->openWatches.push_back(*id);
+    impl_->openWatches[*id] = std::move(onEvent);
     return *id;
 }
 
 void PlatformClient::cancelWatch(WatchId id)
 {
-    if (std::erase(impl_->openWatches, id) > 0) {
+    if (impl_->openWatches.erase(id) > 0) {
         impl_->transport.cancelWatch(id);
     }
 }
 
+void PlatformClient::noteEra(std::uint64_t era, Micros now)
+{
+    impl_->noteEra(era, now);
+}
+
+std::uint64_t PlatformClient::era() const
+{
+    return impl_->era;
+}
+
+void PlatformClient::onRestored(std::function<void(Micros now)> listener)
+{
+    impl_->restoreListeners.push_back(std::move(listener));
+}
+
 void PlatformClient::setClientCount(double clientCount, Micros now)
 {
     impl_->reads.setRate(FleetReadsPerSecond / std::max(clientCount, 1.0), now);
--- a/packages/state/src/watcher.cpp
+++ b/packages/state/src/watcher.cpp
@@ -26,7 +26,7 @@
     void onListed(const PlatformReply &reply, Micros now);
     void openWatch(Micros now);
     void onEvent(std::uint64_t generation, const WatchEvent &event, Micros now);
-    void deliverIfNewer(const PlatformObject &object, Micros now);
+    void deliverIfNewer(PlatformObject object, Micros now);
     void retry(Micros now);
     Micros jittered(Micros interval);
 
@@ -38,6 +38,10 @@
     Micros retryAt = 0;
     Micros relistAt = 0;
     std::uint64_t version = 0;
+    std::uint64_t firstVersion = 0; ///< Of the first list of the era of `version`: objects with a higher version were written in that era.
+    bool isSettling = false;        ///< No list has been requested since settleAt.
+    Micros settleAt = 0;            ///< End of the grace of the era of `version`.
+    Micros listedAt = 0;            ///< When the last list was requested.
     std::uint64_t generation = 0;
     WatchId watch = 0;
     std::map<std::string, std::uint64_t> versions;
@@ -51,7 +55,7 @@
 void ObjectWatcher::Impl::tick(Micros now)
 {
     if (state == State::Idle && now >= retryAt) {
-        if (listNeeded) {
+        if (listNeeded || (isSettling && now >= settleAt)) {
             list(now);
         } else {
             openWatch(now);
@@ -75,6 +79,7 @@
 void ObjectWatcher::Impl::list(Micros now)
 {
     state = State::Listing;
+    listedAt = now;
     client.call(listCall(options.kind), now, [weak = weak_from_this()](const PlatformReply &reply, Micros at) {
         if (const auto self = weak.lock()) {
             self->onListed(reply, at);
@@ -87,17 +92,35 @@
     if (reply.error || reply.listVersion < version) {
         // A list older than the known version comes from a stale replica.
         logEvent(LogLevel::Info, "list_failed",
-                 { { "kind", options.kind }, { "version", reply.listVersion }, { "before", version }, { "error", reply.error } });
+                 { { "kind", options.kind },
+                   { "version", revisionOf(reply.listVersion) },
+                   { "before", revisionOf(version) },
+                   { "era", eraOf(reply.listVersion) },
+                   { "era_before", eraOf(version) },
+                   { "error", reply.error } });
         retry(now);
         return;
     }
+    const bool isStart = version == 0;
+    if (isStart || eraOf(reply.listVersion) != eraOf(version)) {
+        firstVersion = reply.listVersion;
+        isSettling = !isStart || (options.onSettled && eraOf(reply.listVersion) != 0);
+        settleAt = now + options.restoreGrace;
+    }
+    // The store has had the whole grace when it made a list that was requested after it.
+    const bool isSettled = isSettling && listedAt >= settleAt;
     std::set<std::string> present;
     for (const PlatformObject &object : reply.items) {
         present.insert(object.name);
         deliverIfNewer(object, now);
+        if (isSettled && options.onSettled && object.version <= firstVersion && matches(object)) {
+            options.onSettled(object, now);
+        }
     }
+    isSettling = isSettling && !isSettled;
     for (auto it = versions.begin(); it != versions.end();) {
-        if (present.contains(it->first)) {
+        // A copy lacks objects that were created after it was made. Their writers write them again.
+        if ((isSettling && eraOf(it->second) < eraOf(reply.listVersion)) || present.contains(it->first)) {
             ++it;
             continue;
         }
@@ -107,17 +130,27 @@
         it = versions.erase(it);
     }
     logEvent(LogLevel::Info, "objects_listed",
-             { { "kind", options.kind }, { "count", reply.items.size() }, { "version", reply.listVersion }, { "before", version } });
+             { { "kind", options.kind },
+               { "count", reply.items.size() },
+               { "version", revisionOf(reply.listVersion) },
+               { "before", revisionOf(version) },
+               { "era", eraOf(reply.listVersion) } });
     version = reply.listVersion;
     listNeeded = false;
-    relistAt = now + jittered(options.relistEvery);
+    relistAt = isSettling ? settleAt : now + jittered(options.relistEvery);
     openWatch(now);
 }
 
 void ObjectWatcher::Impl::openWatch(Micros now)
 {
+    if (client.era() > eraOf(version)) {
+        // The platform was restored while no watch was open.
+        listNeeded = true;
+        retry(now);
+        return;
+    }
     state = State::Watching;
-    if (relistAt <= now) {
+    if (!isSettling && relistAt <= now) {
         relistAt = now + jittered(options.relistEvery);
     }
     const std::uint64_t current = ++generation;
@@ -128,7 +161,7 @@
     });
 }
 
-void ObjectWatcher::Impl::deliverIfNewer(const PlatformObject &object, Micros now)
+void ObjectWatcher::Impl::deliverIfNewer(PlatformObject object, Micros now)
 {
     if (!matches(object)) {
         return;
@@ -138,6 +171,7 @@
         return;
     }
     known = object.version;
+    object.isWrittenInEra = object.version > firstVersion;
     options.onObject(object, now);
 }
 
@@ -147,6 +181,8 @@
         return;
     }
     switch (event.type) {
+    case WatchEventType::Alive:
+        return;
     case WatchEventType::Put:
         backoff.reset();
         deliverIfNewer(event.object, now);
--- a/packages/state/tests/fake_platform.h
+++ b/packages/state/tests/fake_platform.h
@@ -72,6 +72,9 @@
     PlatformReply run(const PlatformCall &call)
     {
         PlatformReply reply;
+        if (!outage) {
+            reply.era = era;
+        }
         if (outage) {
             reply.error = Errc::PlatformUnavailable;
             reply.verdict = isWrite(call.verb) ? Verdict::MayHaveRun : Verdict::NotRun;
@@ -107,7 +110,8 @@
                 reply.error = Errc::NotFound;
                 return reply;
             }
-            if (found->second.version != call.baseVersion) {
+            // A platform compares revisions: one that is given out again matches.
+            if (revisionOf(found->second.version) != revisionOf(call.baseVersion)) {
                 reply.error = Errc::Conflict;
                 return reply;
             }
@@ -127,7 +131,7 @@
         } else {
             objects[{ call.kind, call.name }] = reply.object;
         }
-        const WatchEvent event{ .type = deleted ? WatchEventType::Deleted : WatchEventType::Put, .object = reply.object };
+        const WatchEvent event{ .type = deleted ? WatchEventType::Deleted : WatchEventType::Put, .object = reply.object, .era = era };
         history.push_back(event);
         for (auto &[id, watch] : watches) {
             deliver(watch, event);
@@ -145,7 +149,8 @@
 
     void deliver(const Watch &watch, const WatchEvent &event) const
     {
-        if (event.object.kind != watch.kind && event.type != WatchEventType::Gone && event.type != WatchEventType::Closed) {
+        const bool isChange = event.type == WatchEventType::Put || event.type == WatchEventType::Deleted;
+        if (isChange && event.object.kind != watch.kind) {
             return;
         }
         time.after(watch.delay + extraLatency, [event, handler = watch.handler, &clock = time] { handler(event, clock.now()); });
@@ -154,15 +159,44 @@
     void endWatches(WatchEventType type)
     {
         for (const auto &[id, watch] : watches) {
-            deliver(watch, { .type = type, .object = {} });
+            deliver(watch, { .type = type, .object = {}, .era = type == WatchEventType::Closed ? 0 : era });
         }
         watches.clear();
     }
 
+    /// The contents at one moment.
+    struct Copy {
+        std::map<std::pair<std::string, std::string>, PlatformObject> objects;
+        std::vector<WatchEvent> history;
+        std::uint64_t revision = 0;
+    };
+
+    [[nodiscard]] Copy copy() const
+    {
+        return { .objects = objects, .history = history, .revision = revisionOf(version) };
+    }
+
+    /// Begins a new era with the contents of \p copy. Open watches stay open. Precondition: the platform has had an era before.
+    void restore(const Copy &copy)
+    {
+        ++era;
+        version = versionOf(era, copy.revision);
+        objects = copy.objects;
+        history = copy.history;
+        for (auto &[key, object] : objects) {
+            object.version = versionOf(era, revisionOf(object.version));
+        }
+        for (WatchEvent &event : history) {
+            event.object.version = versionOf(era, revisionOf(event.object.version));
+            event.era = era;
+        }
+    }
+
     VirtualTime &time;
     std::map<std::pair<std::string, std::string>, PlatformObject> objects;
     std::map<WatchId, Watch> watches;
     std::vector<WatchEvent> history;
+    std::uint64_t era = 0; ///< Set it, together with that of `version`, before the first call.
     std::uint64_t version = 0;
     std::uint64_t oldestVersion = 0; ///< A watch from a lower version ends with Gone.
     WatchId lastWatch = 0;
@@ -215,15 +249,23 @@
         FakePlatform::Watch entry{ .kind = std::move(kind), .delay = latency, .handler = {} };
         entry.handler = [this, handler = std::move(handler)](const WatchEvent &event, Micros now) {
             if (!disconnected || event.type == WatchEventType::Closed) {
-                handler(event, now);
+                report(event, now, handler);
             }
         };
-        if (platform.outage || disconnected || from < platform.oldestVersion) {
-            platform.deliver(entry, { .type = platform.outage || disconnected ? WatchEventType::Closed : WatchEventType::Gone, .object = {} });
+        const std::uint64_t revision = revisionOf(from);
+        if (platform.outage || disconnected) {
+            platform.deliver(entry, { .type = WatchEventType::Closed, .object = {} });
+            return id;
+        }
+        if (revision < revisionOf(platform.oldestVersion) || (platform.era != 0 && revision > revisionOf(platform.version))) {
+            platform.deliver(entry, { .type = WatchEventType::Gone, .object = {}, .era = platform.era });
             return id;
         }
+        if (platform.era != 0) {
+            platform.deliver(entry, { .type = WatchEventType::Alive, .object = {}, .era = platform.era });
+        }
         for (const WatchEvent &event : platform.history) {
-            if (event.object.version > from) {
+            if (revisionOf(event.object.version) > revision) {
                 platform.deliver(entry, event);
             }
         }
@@ -231,6 +273,16 @@
         return id;
     }
 
+    /// Invokes the handler of a watch, or does so when a paused process resumes.
+    void report(const WatchEvent &event, Micros now, const WatchHandler &handler)
+    {
+        if (platform.time.now() < pausedUntil) {
+            platform.time.at(pausedUntil, [this, event, handler] { report(event, platform.time.now(), handler); });
+        } else {
+            handler(event, now);
+        }
+    }
+
     void cancelWatch(WatchId id)
     {
         platform.watches.erase(id);
