Order configurations by the era of the platform as well as by version

Cause: a configuration was taken only if its version was higher than the one held. A restored store gives versions out again, with other contents, and shows an older version until the operator has written again what was acknowledged. The version alone tells neither case.

ConfigStamp adds the era in which the platform showed the document, whether it was written there, and a digest. compareConfigs() decides by them: what was written in a later era replaces what is held, whatever its version; a copy replaces nothing newer; the same version with other contents is newer if its era is. A document that is held back is taken after all if the store still has it in a list requested 5 s after the first one of the era (ObjectWatcher::onSettled). Stamps travel in KnownVersions and ConfigData, in fields at the end, so that a gateway that starts while the store has the old copy gets the newer document from a sidecar, and does not pass on the copy as newer. KnownVersions also tells the era of the platform: a process whose watch is waiting learns of the restore from its peers, and gateways and sidecars send it when they learn of one.

Not covered here: the same with gateways and sidecars as separate processes.

--- a/packages/gateway/src/config_pull_scheduler.cpp
+++ b/packages/gateway/src/config_pull_scheduler.cpp
@@ -6,10 +6,10 @@
 namespace Carobhall
 {
 
-void ConfigPullScheduler::addOffer(ConnectionId peer, std::uint64_t version, Distance distance)
+void ConfigPullScheduler::addOffer(ConnectionId peer, const ConfigStamp &stamp, Distance distance)
 {
     std::erase_if(offers_, [peer](const Offer &offer) { return offer.peer == peer; });
-    offers_.push_back({ .peer = peer, .version = version, .distance = distance });
+    offers_.push_back({ .peer = peer, .stamp = stamp, .distance = distance });
 }
 
 void ConfigPullScheduler::removePeer(ConnectionId peer)
@@ -20,9 +20,9 @@
     }
 }
 
-std::optional<ConnectionId> ConfigPullScheduler::nextPeer(std::uint64_t currentVersion, Micros offerDelay, Micros now)
+std::optional<ConnectionId> ConfigPullScheduler::nextPeer(const ConfigStamp &held, Micros offerDelay, Micros now)
 {
-    std::erase_if(offers_, [currentVersion](const Offer &offer) { return offer.version <= currentVersion; });
+    std::erase_if(offers_, [&held](const Offer &offer) { return compareConfigs(offer.stamp, held) != ConfigRelation::Newer; });
     if (pendingPeer_ && now - requestedAt_ >= ResponseTimeout) {
         removePeer(*pendingPeer_);
     }
@@ -34,18 +34,18 @@
     if (!firstOfferAt_) {
         firstOfferAt_ = now;
     }
-    if (currentVersion > versionAtRequest_) {
-        // The requested version has arrived, and a newer one is on offer.
+    if (compareConfigs(held, heldAtRequest_) == ConfigRelation::Newer) {
+        // The requested configuration has arrived, and a newer one is on offer.
         pendingPeer_.reset();
     }
     if (pendingPeer_ || now - *firstOfferAt_ < offerDelay) {
         return std::nullopt;
     }
     const auto nearest = std::ranges::min_element(
-        offers_, [](const Offer &a, const Offer &b) { return std::tuple(a.distance, b.version) < std::tuple(b.distance, a.version); });
+        offers_, [](const Offer &a, const Offer &b) { return std::tuple(a.distance, b.stamp.version) < std::tuple(b.distance, a.stamp.version); });
     pendingPeer_ = nearest->peer;
     requestedAt_ = now;
-    versionAtRequest_ = currentVersion;
+    heldAtRequest_ = held;
     return pendingPeer_;
 }
 
--- /dev/null
+++ b/packages/gateway/src/config_stamp.cpp
@@ -0,0 +1,86 @@
+#include "carobhall/config_stamp.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace Carobhall
+{
+
+namespace
+{
+
+/// Whether the contents differ although the version is the same. They can't, within an era.
+bool isGivenOutAgain(const ConfigStamp &candidate, const ConfigStamp &held)
+{
+    return candidate.version == held.version && candidate.digest != held.digest && candidate.digest != 0 && held.digest != 0;
+}
+
+} // namespace
+
+DocumentOrigin originOf(const ConfigStamp &stamp)
+{
+    return { .era = stamp.era, .isExact = stamp.isExact, .digest = stamp.digest };
+}
+
+ConfigStamp stampOf(std::uint64_t version, const DocumentOrigin &origin)
+{
+    return { .version = version, .era = origin.era, .isExact = origin.isExact, .digest = origin.digest };
+}
+
+std::uint64_t configDigest(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+ConfigRelation compareConfigs(const ConfigStamp &candidate, const ConfigStamp &held)
+{
+    if (candidate.version == 0 || held.version == 0) {
+        return candidate.version != 0 ? ConfigRelation::Newer : ConfigRelation::Older;
+    }
+    if (candidate.version == held.version && !isGivenOutAgain(candidate, held)) {
+        return ConfigRelation::Same;
+    }
+    bool isNewer = candidate.version > held.version;
+    if (isGivenOutAgain(candidate, held) || (candidate.isExact && held.isExact)) {
+        isNewer = std::tuple(candidate.era, candidate.version) > std::tuple(held.era, held.version);
+    } else if (candidate.isExact) {
+        isNewer = isNewer || candidate.era > held.era;
+    } else if (held.isExact) {
+        isNewer = isNewer && candidate.era >= held.era;
+    }
+    return isNewer ? ConfigRelation::Newer : ConfigRelation::Older;
+}
+
+ConfigStamp mergedStamp(const ConfigStamp &one, const ConfigStamp &other)
+{
+    ConfigStamp merged = std::tuple(one.era, one.isExact) > std::tuple(other.era, other.isExact) ? one : other;
+    merged.digest = one.digest != 0 ? one.digest : other.digest;
+    return merged;
+}
+
+ConfigStamp adoptedStamp(const ConfigStamp &candidate, const ConfigStamp &held)
+{
+    ConfigStamp adopted = candidate;
+    adopted.isExact = candidate.isExact || isGivenOutAgain(candidate, held);
+    return adopted;
+}
+
+ConfigRelation HeldConfig::offer(const ConfigStamp &candidate)
+{
+    const ConfigRelation relation = compareConfigs(candidate, stamp_);
+    if (relation == ConfigRelation::Newer) {
+        stamp_ = adoptedStamp(candidate, stamp_);
+    } else if (relation == ConfigRelation::Same) {
+        stamp_ = mergedStamp(candidate, stamp_);
+    }
+    return relation;
+}
+
+const ConfigStamp &HeldConfig::stamp() const
+{
+    return stamp_;
+}
+
+} // namespace Carobhall
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -19,6 +19,8 @@
 /// Responses of the KV cache store may cross regions. A long delay collects more events into each of them.
 constexpr Micros StorePollDelay = 200 * MicrosPerMilli;
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Interval of Impl::tick().
+/// After a restore of the platform, the operator has this long to write again what was acknowledged. What the platform has then is right.
+constexpr Micros ConfigRestoreGrace = 5 * MicrosPerSecond;
 /// Interval at which newly blocked features are looked for. A restart of all processes within less of a crash is a rare accident.
 constexpr Micros EvidenceSaveInterval = 250 * MicrosPerMilli;
 
@@ -55,7 +57,10 @@
     void onAccept(int descriptor);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
     void onCallerClosed(CallerConnection &caller);
-    bool adoptConfig(const Json::Value &spec, std::string_view source);
+    /// Takes \p spec into use if it is newer than what is held. \p stamp: what the source tells of it; the version is that of the spec.
+    void adoptConfig(const Json::Value &spec, ConfigStamp stamp, std::string_view source);
+    void onConfigObject(const PlatformObject &object, bool isSettled);
+    void onPeerConfig(const ConfigData &data);
     void subscribeToCacheStore();
     void onUpstream(const PlatformObject &object, Micros now);
     /// Reports a crash of the known process of upstream \p id if it was not draining and the list now contains a process with another
@@ -82,6 +87,7 @@
     CrashProbe crashProbe;
     ExchangeContext context;
     std::shared_ptr<const RouteTable> routes;
+    HeldConfig heldConfig; ///< Stamp of `routes`.
     ChannelListener listener;
     ObjectRef<SoupServer> readiness;
     std::unique_ptr<AdminListener> admin;
@@ -148,14 +154,14 @@
             admin.reset();
         }
     }
-    configWatcher = std::make_unique<ObjectWatcher>(*options.platform,
-                                                    WatcherOptions{ .kind = options.objectCodec.configKind,
-                                                                    .name = options.objectCodec.configName,
-                                                                    .onObject = [this](const PlatformObject &object, Micros) {
-                                                                        if (adoptConfig(object.spec, "platform")) {
-                                                                            links->announceVersions();
-                                                                        }
-                                                                    } });
+    configWatcher = std::make_unique<ObjectWatcher>(
+        *options.platform,
+        WatcherOptions{ .kind = options.objectCodec.configKind,
+                        .name = options.objectCodec.configName,
+                        .restoreGrace = ConfigRestoreGrace,
+                        .onObject = [this](const PlatformObject &object, Micros) { onConfigObject(object, false); },
+                        .onSettled = [this](const PlatformObject &object, Micros) { onConfigObject(object, true); } });
+    options.platform->onRestored([this](Micros) { links->announceVersions(); });
     upstreamWatcher = std::make_unique<ObjectWatcher>(*options.platform,
                                                       WatcherOptions{ .kind = options.objectCodec.upstreamKind,
                                                                       .name = {},
@@ -174,17 +180,18 @@
                   .kind = static_cast<std::uint8_t>(ProcessKind::Entry) },
         .port = options.settings.peerPort,
         .upstreams = &upstreams,
-        .configurationVersion = [this] { return routes ? routes->config().version : 0; },
+        .configuration = [this] { return heldConfig.stamp(); },
         .configurationText = [this] { return routes ? routes->config().text : std::string(); },
         .platformAvailable = [this] { return options.platform->available(); },
-        .onConfiguration =
-            [this](const std::string &text) {
-                if (const auto spec = parseJson(text)) {
-                    adoptConfig(*spec, "peer");
-                } else {
-                    logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "bytes", text.size() } });
+        .platformEra = [this] { return options.platform->era(); },
+        .onPlatformEra = [this](std::uint64_t era) { options.platform->noteEra(era, monotonicNow()); },
+        .onConfigurationOffer =
+            [this](const ConfigStamp &stamp) {
+                if (compareConfigs(stamp, heldConfig.stamp()) == ConfigRelation::Same) {
+                    heldConfig.offer(stamp);
                 }
             },
+        .onConfiguration = [this](const ConfigData &data) { onPeerConfig(data); },
         .onGatewayCount =
             [this](std::uint32_t count) {
                 retries.setGatewayCount(count);
@@ -374,27 +381,51 @@
     }
 }
 
-bool Gateway::Impl::adoptConfig(const Json::Value &spec, std::string_view source)
+void Gateway::Impl::onConfigObject(const PlatformObject &object, bool isSettled)
+{
+    adoptConfig(object.spec, { .era = eraOf(object.version), .isExact = object.isWrittenInEra || isSettled }, "platform");
+}
+
+void Gateway::Impl::onPeerConfig(const ConfigData &data)
+{
+    if (const auto spec = parseJson(data.text)) {
+        adoptConfig(*spec, stampOf(data.version, data.origin), "peer");
+    } else {
+        logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "bytes", data.text.size() } });
+    }
+}
+
+void Gateway::Impl::adoptConfig(const Json::Value &spec, ConfigStamp stamp, std::string_view source)
 {
     std::optional<GatewayConfig> config = options.objectCodec.decodeConfig(spec);
     if (!config) {
         logEvent(LogLevel::Error, "configuration_unreadable", { { "source", source } });
-        return false;
-    }
-    const std::uint64_t current = routes ? routes->config().version : 0;
-    if (config->version <= current) {
-        return false;
+        return;
     }
     config->text = writeJson(spec);
-    logEvent(LogLevel::Info, "configuration_in_effect",
-             { { "version", config->version },
-               { "before", current },
-               { "source", source },
-               { "routes", config->routes.size() },
-               { "accounts", config->accounts.size() } });
-    routes = std::make_shared<RouteTable>(std::move(*config));
-    subscribeToCacheStore();
-    return true;
+    stamp.version = config->version;
+    stamp.digest = configDigest(config->text);
+    const ConfigStamp before = heldConfig.stamp();
+    const ConfigRelation relation = heldConfig.offer(stamp);
+    if (relation == ConfigRelation::Older && source == "platform") {
+        logEvent(LogLevel::Warning, "configuration_held_back",
+                 { { "version", stamp.version }, { "era", stamp.era }, { "held", before.version }, { "held_era", before.era } });
+    }
+    if (relation == ConfigRelation::Newer) {
+        logEvent(LogLevel::Info, "configuration_in_effect",
+                 { { "version", config->version },
+                   { "before", before.version },
+                   { "source", source },
+                   { "era", stamp.era },
+                   { "exact", heldConfig.stamp().isExact },
+                   { "routes", config->routes.size() },
+                   { "accounts", config->accounts.size() } });
+        routes = std::make_shared<RouteTable>(std::move(*config));
+        subscribeToCacheStore();
+    }
+    if (source == "platform" && heldConfig.stamp() != before) {
+        links->announceVersions();
+    }
 }
 
 void Gateway::Impl::subscribeToCacheStore()
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -38,10 +38,10 @@
 void SidecarLinks::tick(const RouteTable *routes, Micros now)
 {
     const Micros offerDelay = options_.platformAvailable() ? ConfigOfferDelay : 0;
-    if (const auto peer = configPulls_.nextPeer(options_.configurationVersion(), offerDelay, now)) {
-        endpoint_.send(*peer, ConfigPull{ .heldVersion = options_.configurationVersion() });
+    if (const auto peer = configPulls_.nextPeer(options_.configuration(), offerDelay, now)) {
+        endpoint_.send(*peer, ConfigPull{ .heldVersion = options_.configuration().version });
     }
-    const std::uint64_t configuration = routes != nullptr ? routes->config().version : 0;
+    const ConfigStamp configuration = options_.configuration();
     if (options_.upstreams->revision() != linkedRevision_ || configuration != linkedConfiguration_) {
         linkedRevision_ = options_.upstreams->revision();
         linkedConfiguration_ = configuration;
@@ -133,7 +133,8 @@
 
 KnownVersions SidecarLinks::knownVersions() const
 {
-    return { .configuration = options_.configurationVersion(), .model = model_, .weights = weightsVersion_ };
+    const ConfigStamp held = options_.configuration();
+    return { .configuration = held.version, .model = model_, .weights = weightsVersion_, .platformEra = options_.platformEra(), .origin = originOf(held) };
 }
 
 std::size_t SidecarLinks::openCount() const
@@ -168,7 +169,10 @@
         }
         options_.onGatewayCount(status->gateways);
     } else if (const auto *const known = std::get_if<KnownVersions>(&message)) {
-        configPulls_.addOffer(connection, known->configuration, options_.upstreams->distanceTo(links_[ip].zone));
+        options_.onPlatformEra(known->platformEra);
+        const ConfigStamp offer = stampOf(known->configuration, known->origin);
+        options_.onConfigurationOffer(offer);
+        configPulls_.addOffer(connection, offer, options_.upstreams->distanceTo(links_[ip].zone));
         if (known->weights > weightsVersion_) {
             model_ = known->model;
             weightsVersion_ = known->weights;
@@ -176,13 +180,14 @@
             announceVersions();
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
-        endpoint_.send(connection, ConfigData{ .version = options_.configurationVersion(), .digest = {}, .text = options_.configurationText() });
+        const ConfigStamp held = options_.configuration();
+        endpoint_.send(connection, ConfigData{ .version = held.version, .digest = {}, .text = options_.configurationText(), .origin = originOf(held) });
     } else if (const auto *const reports = std::get_if<LimitReports>(&message)) {
         options_.onLimitReports(*reports);
     } else if (const auto *const evidence = std::get_if<CrashEvidence>(&message)) {
         options_.onCrashEvidence(*evidence);
-    } else if (auto *const data = std::get_if<ConfigData>(&message)) {
-        options_.onConfiguration(std::move(data->text));
+    } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
+        options_.onConfiguration(*data);
     }
 }
 
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -17,10 +17,13 @@
     PeerInfo self{};
     std::uint16_t port = 0;
     UpstreamTable *upstreams = nullptr;
-    std::function<std::uint64_t()> configurationVersion{};
+    std::function<ConfigStamp()> configuration{}; ///< What this gateway holds.
     std::function<std::string()> configurationText{};
     std::function<bool()> platformAvailable{};
-    std::function<void(std::string text)> onConfiguration{};              ///< A peer sent a configuration.
+    std::function<std::uint64_t()> platformEra{};                         ///< Newest era of the platform that this process knows of.
+    std::function<void(std::uint64_t era)> onPlatformEra{};               ///< A peer knows of this era.
+    std::function<void(const ConfigStamp &stamp)> onConfigurationOffer{}; ///< A peer holds this configuration.
+    std::function<void(const ConfigData &data)> onConfiguration{};        ///< A peer sent a configuration.
     std::function<void(std::uint32_t count)> onGatewayCount{};            ///< A sidecar reported the number of connected gateways.
     std::function<void(const LimitReports &reports)> onLimitReports{};    ///< Other gateways reported limits that upstreams name.
     std::function<CrashEvidence()> crashEvidence{};                       ///< All that this gateway knows of requests that crash upstreams.
@@ -75,8 +78,8 @@
     Endpoint endpoint_;
     std::map<std::string, Link, std::less<>> links_; ///< By IP address.
     std::map<ConnectionId, std::string> ipOf_;
-    std::uint64_t linkedRevision_ = 0;      ///< Revision of the table that links_ matches.
-    std::uint64_t linkedConfiguration_ = 0; ///< Version of the configuration that links_ matches; 0: none.
+    std::uint64_t linkedRevision_ = 0;  ///< Revision of the table that links_ matches.
+    ConfigStamp linkedConfiguration_{}; ///< Of the configuration that links_ matches.
     ConfigPullScheduler configPulls_;
     std::string model_;                ///< Model of weightsVersion_.
     std::uint64_t weightsVersion_ = 0; ///< Newest version known to any sidecar; announced to sidecars that the platform refuses to serve.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -36,7 +36,9 @@
     void sendOrder(const RolloutStep &step);
     void onWeightsAnnounced(const std::string &model, std::uint64_t version, std::string_view source);
     void computeWave(std::uint64_t version, Micros now);
-    void adoptConfig(const Json::Value &spec);
+    void adoptConfig(const Json::Value &spec, ConfigStamp stamp);
+    /// Tells the gateways the known versions.
+    void announceVersions();
     void onMessage(ConnectionId connection, Message message);
     void sendStatus(bool force);
     void sendSnapshot(ConnectionId connection);
@@ -71,7 +73,7 @@
     std::string model;
     std::string engineInstance;         ///< Id of the server process, from the platform's server list or the server's replies.
     std::uint64_t announcedVersion = 0; ///< Newest version announced; passed to the rollout once its wave is computed.
-    std::uint64_t configVersion = 0;
+    HeldConfig heldConfig;              ///< Stamp of configText.
     std::string configText;
     /// The reports of the gateways on limits of upstreams, by gateway, and when each was received.
     std::map<std::string, std::pair<LimitReport, Micros>, std::less<>> limitReports;
@@ -131,6 +133,7 @@
                                                   logEvent(LogLevel::Warning, "weights_unreadable", { { "name", object.name } });
                                               }
                                           } });
+    options.platform->onRestored([this](Micros) { announceVersions(); });
     tickTimer.startRepeating(TickInterval, [this] { tick(); });
     logEvent(LogLevel::Info, "started", { { "engine", options.settings.engineAddress }, { "service", options.settings.engineService } });
     return {};
@@ -147,8 +150,8 @@
     const Micros now = monotonicNow();
     options.platform->tick(now);
     weightsWatcher->tick(now);
-    if (const auto peer = configPulls.nextPeer(configVersion, ConfigPullDelay, now)) {
-        endpoint.send(*peer, ConfigPull{ .heldVersion = configVersion });
+    if (const auto peer = configPulls.nextPeer(heldConfig.stamp(), ConfigPullDelay, now)) {
+        endpoint.send(*peer, ConfigPull{ .heldVersion = heldConfig.stamp().version });
     }
     if (!reportInFlight && now >= nextReportAt) {
         requestReport();
@@ -275,25 +278,31 @@
             options.onFleetSize(static_cast<std::uint32_t>(members.size()));
         }
         rollout.setTarget(version, *wave, at);
-        for (const auto &[gateway, pendingPrefill] : gateways) {
-            endpoint.send(gateway, knownVersions());
-        }
+        announceVersions();
     });
 }
 
-void Sidecar::Impl::adoptConfig(const Json::Value &spec)
+void Sidecar::Impl::adoptConfig(const Json::Value &spec, ConfigStamp stamp)
 {
     const std::optional<GatewayConfig> config = options.objectCodec.decodeConfig(spec);
     if (!config) {
         logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" } });
         return;
     }
-    if (config->version <= configVersion) {
+    std::string text = writeJson(spec);
+    stamp.version = config->version;
+    stamp.digest = configDigest(text);
+    if (heldConfig.offer(stamp) != ConfigRelation::Newer) {
         return;
     }
-    configVersion = config->version;
-    configText = writeJson(spec);
-    logEvent(LogLevel::Info, "configuration_known", { { "version", configVersion }, { "bytes", configText.size() } });
+    configText = std::move(text);
+    logEvent(LogLevel::Info, "configuration_known",
+             { { "version", stamp.version }, { "era", stamp.era }, { "exact", heldConfig.stamp().isExact }, { "bytes", configText.size() } });
+    announceVersions();
+}
+
+void Sidecar::Impl::announceVersions()
+{
     for (const auto &[gateway, pendingPrefill] : gateways) {
         endpoint.send(gateway, knownVersions());
     }
@@ -301,14 +310,24 @@
 
 KnownVersions Sidecar::Impl::knownVersions() const
 {
-    return { .configuration = configVersion, .model = model, .weights = std::max(announcedVersion, rollout.target()) };
+    return { .configuration = heldConfig.stamp().version,
+             .model = model,
+             .weights = std::max(announcedVersion, rollout.target()),
+             .platformEra = options.platform->era(),
+             .origin = originOf(heldConfig.stamp()) };
 }
 
 void Sidecar::Impl::onMessage(ConnectionId connection, Message message)
 {
     if (const auto *const peer = std::get_if<KnownVersions>(&message)) {
         const Locality here{ .zone = options.settings.zone, .regionOfZone = options.settings.regionOfZone };
-        configPulls.addOffer(connection, peer->configuration, distanceBetween(here, gatewayZones[connection]));
+        options.platform->noteEra(peer->platformEra, monotonicNow());
+        const ConfigStamp offer = stampOf(peer->configuration, peer->origin);
+        const ConfigStamp before = heldConfig.stamp();
+        if (compareConfigs(offer, before) == ConfigRelation::Same && heldConfig.offer(offer) == ConfigRelation::Same && heldConfig.stamp() != before) {
+            announceVersions();
+        }
+        configPulls.addOffer(connection, offer, distanceBetween(here, gatewayZones[connection]));
         if (peer->weights > rollout.target() && !peer->model.empty()) {
             onWeightsAnnounced(peer->model, peer->weights, "peer");
         }
@@ -318,7 +337,8 @@
             sendStatus(false);
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
-        endpoint.send(connection, ConfigData{ .version = configVersion, .digest = {}, .text = configText });
+        endpoint.send(connection,
+                      ConfigData{ .version = heldConfig.stamp().version, .digest = {}, .text = configText, .origin = originOf(heldConfig.stamp()) });
     } else if (auto *const limits = std::get_if<LimitReport>(&message)) {
         std::string gateway = limits->gateway;
         limitReports.insert_or_assign(std::move(gateway), std::pair(std::move(*limits), monotonicNow()));
@@ -334,7 +354,7 @@
         }
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
         if (const auto spec = parseJson(data->text)) {
-            adoptConfig(*spec);
+            adoptConfig(*spec, stampOf(data->version, data->origin));
         } else {
             logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "version", data->version }, { "bytes", data->text.size() } });
         }
@@ -456,7 +476,7 @@
     state["closed"] = impl_->closed;
     state["gateways"] = Json::UInt64(impl_->gateways.size());
     state["parts"] = Json::UInt64(impl_->feed.cachedParts().size());
-    state["configuration"] = Json::UInt64(impl_->configVersion);
+    state["configuration"] = Json::UInt64(impl_->heldConfig.stamp().version);
     return state;
 }
 
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -236,6 +236,15 @@
     MSGPACK_DEFINE(heldVersion, acceptsDelta)
 };
 
+/// Where the sender has the document from; tells versions apart that the platform has given out again after a restore.
+struct DocumentOrigin {
+    std::uint64_t era = 0;    ///< Era of the platform that showed the document; 0: not known.
+    bool isExact = false;     ///< The document was written in `era`. False: in `era` or before.
+    std::uint64_t digest = 0; ///< Of the text; 0: not known.
+
+    MSGPACK_DEFINE(era, isExact, digest)
+};
+
 /// A version of the environment document, complete or as a delta. A reply without text means that the sender has no newer one.
 struct ConfigData {
     std::uint64_t version = 0;
@@ -244,8 +253,9 @@
     std::uint64_t base = 0;        ///< Version of the base document, which the receiver holds; 0: `text` is the whole document.
     std::uint64_t prefixBytes = 0; ///< Length of the prefix that is copied from the base document.
     std::uint64_t suffixBytes = 0; ///< Length of the suffix that is copied from the base document.
+    DocumentOrigin origin{};       ///< Older versions of the program do not set this.
 
-    MSGPACK_DEFINE(version, digest, text, base, prefixBytes, suffixBytes)
+    MSGPACK_DEFINE(version, digest, text, base, prefixBytes, suffixBytes, origin)
 };
 
 // 4. Account limits -------------------------------------------------------------------------------
@@ -325,9 +335,11 @@
 struct KnownVersions {
     std::uint64_t configuration = 0; ///< Version of the environment document.
     std::string model;
-    std::uint64_t weights = 0; ///< Version of the weights designated for `model`; 0: none is known.
+    std::uint64_t weights = 0;     ///< Version of the weights designated for `model`; 0: none is known.
+    std::uint64_t platformEra = 0; ///< Newest era of the platform that the sender knows of; 0: none. Older versions of the program do not set this.
+    DocumentOrigin origin{};       ///< Of the environment document; likewise.
 
-    MSGPACK_DEFINE(configuration, model, weights)
+    MSGPACK_DEFINE(configuration, model, weights, platformEra, origin)
 };
 
 // 7. Suspects -------------------------------------------------------------------------------------
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -166,3 +166,24 @@
     BOOST_TEST(!decode("").has_value());
     BOOST_TEST(!decode(std::string("\x92\x7f\x90", 3)).has_value());
 }
+
+// Guards against messages of a process with an older version of the program that are rejected because they lack fields added since.
+BOOST_AUTO_TEST_CASE(messagesOfAnOlderVersionAreUnderstood)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(2);
+    packer.pack(static_cast<std::uint32_t>(Message(KnownVersions{}).index()));
+    packer.pack_array(3);
+    packer.pack(std::uint64_t{ 7 });
+    packer.pack("m");
+    packer.pack(std::uint64_t{ 3 });
+    const std::optional<Message> message = decode(std::string_view(buffer.data(), buffer.size()));
+    BOOST_REQUIRE(message);
+    const auto *const known = std::get_if<KnownVersions>(&*message);
+    BOOST_REQUIRE(known != nullptr);
+    BOOST_TEST(known->configuration == 7U);
+    BOOST_TEST(known->weights == 3U);
+    BOOST_TEST(known->platformEra == 0U);
+    BOOST_TEST(known->origin.era == 0U);
+}
