Keep a silent attempt until another upstream takes the request

Callers saw a started stream break off, or 502, although the server that ran their request was sound and only silent for a second or so. The attempt was reset as soon as the connection to the next upstream stood; when that one refused, or attempts, retry budget or permits were used up, nobody had the request any more.

Now both connections stay open for up to 250 ms (AttemptHandover): progress of the first attempt ends the second, a refusal of the second leaves the first in place, and an answer of the second or the end of the overlap resets the first. Once an attempt was given up, refusals do not count as attempts and the request waits for an upstream until its deadline; each send takes a retry from the budget. A stream counts as silent after 1.5 s instead of 1.2 s.

--- a/packages/gateway/include/carobhall/retry_budget.h
+++ b/packages/gateway/include/carobhall/retry_budget.h
@@ -31,6 +31,8 @@
     void noteRequest(std::string_view service, Micros now);
     /// Takes one retry from the budget. Returns false when the budget is spent: the request must not be retried.
     [[nodiscard]] bool take(std::string_view service, Micros now);
+    /// Whether take() would succeed.
+    [[nodiscard]] bool isAvailable(std::string_view service, Micros now);
     void setGatewayCount(std::uint32_t count);
     /// Retries taken since the start of the process, over all services.
     [[nodiscard]] std::uint64_t taken() const;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -84,6 +84,7 @@
         timeout = std::min(timeout, *request_.timeout);
     }
     deadline_ = now + timeout;
+    handover_ = AttemptHandover(route_->maxAttempts);
     lastEventId_ = request_.resumeAfter;
     deadlineTimer_.startOnce(timeout, [this] { onDeadline(); });
     attempt();
@@ -138,19 +139,27 @@
 
 void Exchange::onHead()
 {
-    const ResponseHead &head = attempt_->call->head();
+    noteResponseHead(*attempt_);
     const UpstreamResponse &response = attempt_->call->response();
-    if (response.weightsVersion && attempt_->choice.upstream && isSuccess(head.status)) {
-        attempt_->upstream->record.weightsVersion = std::max(attempt_->upstream->record.weightsVersion, *response.weightsVersion);
+    if (route_->kind != RequestKind::Streaming && response.authentic && !response.rejected && !response.misdirected) {
+        noteProgress();
+    }
+}
+
+void Exchange::noteResponseHead(Attempt &answered)
+{
+    const ResponseHead &head = answered.call->head();
+    const UpstreamResponse &response = answered.call->response();
+    if (response.weightsVersion && answered.choice.upstream && isSuccess(head.status)) {
+        answered.upstream->record.weightsVersion = std::max(answered.upstream->record.weightsVersion, *response.weightsVersion);
     }
     if (!response.misdirected) {
-        noteNamedLimit(response.requestsPerSecond);
+        noteNamedLimit(*answered.upstream, response.requestsPerSecond);
     }
 }
 
-void Exchange::noteNamedLimit(std::optional<double> requestsPerSecond)
+void Exchange::noteNamedLimit(Upstream &upstream, std::optional<double> requestsPerSecond)
 {
-    Upstream &upstream = *attempt_->upstream;
     if (upstream.namedLimit != requestsPerSecond) {
         logEvent(LogLevel::Info, "upstream_limit_named",
                  { { "upstream", upstream.record.id },
@@ -170,6 +179,7 @@
         forwardEvents();
         return;
     }
+    attempt_->lastProgressAt = monotonicNow();
     body_ += attempt_->call->takeBody();
     if (body_.size() > MaxBufferedResponseBytes) {
         body_ = {};
@@ -196,8 +206,7 @@
         }
         if (event->hasData || event->id) {
             // Comments keep a connection open but are no progress.
-            attempt_->lastProgressAt = now;
-            dropStandby(AttemptResult::Abandoned);
+            noteProgress();
         }
         out += event->text;
     }
@@ -218,32 +227,20 @@
 void Exchange::onEnd(CallEnd end)
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
-    dropStandby(AttemptResult::Abandoned);
     const ResponseHead &head = attempt_->call->head();
     const UpstreamResponse &response = attempt_->call->response();
     if (end == CallEnd::NotSent) {
-        --attemptsSent_;
+        handover_.noteNotSent();
         onAttemptFailed(Verdict::NotRun, AttemptResult::Unreachable, "not_sent");
         return;
     }
     if (end == CallEnd::Broken) {
-        noteConnectionLost();
+        noteConnectionLost(*attempt_);
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "broken_response");
         return;
     }
     if (response.misdirected) {
-        Upstream &upstream = *attempt_->upstream;
-        if (!response.instance.empty() && response.instance != upstream.record.id) {
-            options_.context->upstreams->noteReplaced(upstream);
-        } else if (attempt_->choice.upstream) {
-            options_.context->upstreams->noteWeightsMismatch(upstream, response.weightsVersion.value_or(0), monotonicNow());
-        }
-        logEvent(LogLevel::Info, "upstream_misdirected",
-                 { { "id", request_.id },
-                   { "upstream", upstream.record.id },
-                   { "answered_by", response.instance },
-                   { "weights_expected", attempt_->choice.weightsVersion },
-                   { "weights", response.weightsVersion.value_or(0) } });
+        noteMisdirected(*attempt_);
     }
     if (response.rejected || response.misdirected) {
         onAttemptFailed(Verdict::NotRun, AttemptResult::Rejected, response.misdirected ? "misdirected" : "rejected");
@@ -260,8 +257,9 @@
     verdict_ = Verdict::Ran;
     if (head.status >= 500 && route_->kind == RequestKind::Idempotent) {
         const Micros now = monotonicNow();
-        tried_.push_back(attempt_->upstream);
-        if (hasUntriedUpstream(*options_.context->upstreams, service_->name, tried_) && mayRetry(Verdict::Ran, now)) {
+        dropStandby(AttemptResult::Abandoned);
+        handover_.noteEnded(attempt_->upstream, AttemptEnding::Failed);
+        if (hasUntriedUpstream(*options_.context->upstreams, service_->name, handover_.tried()) && mayRetry(Verdict::Ran, now)) {
             logEvent(LogLevel::Info, "attempt_repeated",
                      { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "reason", "server_error" }, { "status", head.status } });
             // An error response is not counted against the upstream's health: some requests cause errors on any upstream.
@@ -273,6 +271,23 @@
     deliverResponse();
 }
 
+void Exchange::noteMisdirected(Attempt &answered)
+{
+    const UpstreamResponse &response = answered.call->response();
+    Upstream &upstream = *answered.upstream;
+    if (!response.instance.empty() && response.instance != upstream.record.id) {
+        options_.context->upstreams->noteReplaced(upstream);
+    } else if (answered.choice.upstream) {
+        options_.context->upstreams->noteWeightsMismatch(upstream, response.weightsVersion.value_or(0), monotonicNow());
+    }
+    logEvent(LogLevel::Info, "upstream_misdirected",
+             { { "id", request_.id },
+               { "upstream", upstream.record.id },
+               { "answered_by", response.instance },
+               { "weights_expected", answered.choice.weightsVersion },
+               { "weights", response.weightsVersion.value_or(0) } });
+}
+
 void Exchange::onStreamEnd()
 {
     if (!options_.caller->hasStartedStream() || events_.hasPartialEvent()) {
@@ -373,6 +388,7 @@
     }
     deadlineTimer_.stop();
     inactivityTimer_.stop();
+    dropStandby(AttemptResult::Abandoned);
     const Micros now = monotonicNow();
     if (verdict_ == Verdict::Ran) {
         noteSound(now);
@@ -386,7 +402,7 @@
                { "outcome", outcome },
                { "verdict", verdict_ },
                { "upstream", attempt_ ? attempt_->upstream->record.id : std::string("-") },
-               { "sent", attemptsSent_ },
+               { "sent", handover_.sent() },
                { "part", request_.parts.size() > 1 ? request_.parts[request_.parts.size() - 2].id : std::string("-") },
                { "missing_tokens", attempt_ ? attempt_->choice.uncachedTokens : 0 },
                { "reread_tokens", attempt_ ? attempt_->choice.duplicatePrefillTokens : 0 },
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -5,6 +5,7 @@
 #include "caller_connection.h"
 #include "upstream_pool.h"
 
+#include "carobhall/attempt_handover.h"
 #include "carobhall/event_stream.h"
 #include "carobhall/poison_request_detector.h"
 #include "carobhall/retry_budget.h"
@@ -71,10 +72,24 @@
     [[nodiscard]] ConnectResult connect(Attempt &planned, Micros now);
     /// Sends the request on the connection of attempt_.
     void send(Micros now);
+    void sendTo(Attempt &target, Micros now);
+    /// Drops what was read of a response and not forwarded.
+    void resetResponse();
     /// Connects to another upstream, if there is one, while the silent attempt continues.
     void prepareStandby(Micros now);
-    /// The connection of the standby is established: the standby replaces the silent attempt if the retry budget allows.
-    void switchToStandby();
+    /// The connection of the standby is established: sends the request there too, if the retry budget allows.
+    void startOverlap();
+    void onOverlapTime();
+    void onStandbyHead();
+    void onStandbyEnd(CallEnd end);
+    /// Resets the current attempt; the standby takes its place.
+    void replaceAttempt(std::string_view reason, AttemptResult result);
+    /// The current attempt goes on: the standby is not needed.
+    void noteProgress();
+    /// Upstreams that the next attempt must not use after one was given up.
+    [[nodiscard]] std::vector<UpstreamRef> upstreamsNotToUse(bool again) const;
+    /// Sends a request whose attempt was given up to any upstream that can take it, or waits until one can.
+    void resume(std::string_view reason);
     /// The silent attempt has made progress or has ended, or the standby is of no use: closes the standby's connection.
     void dropStandby(AttemptResult result);
     /// Draws a service of the route at random, by weight.
@@ -87,8 +102,12 @@
     void onInactivity();
     void onDeadline();
     void onHead();
-    /// The upstream of attempt_ has answered and named a limit, or none.
-    void noteNamedLimit(std::optional<double> requestsPerSecond);
+    /// Notes what the head says about its upstream.
+    void noteResponseHead(Attempt &answered);
+    /// \p upstream has answered and named a limit, or none.
+    void noteNamedLimit(Upstream &upstream, std::optional<double> requestsPerSecond);
+    /// Another process or other weights are at the address of the upstream.
+    void noteMisdirected(Attempt &answered);
     void onBody();
     void onEnd(CallEnd end);
     void forwardEvents();
@@ -116,8 +135,8 @@
     [[nodiscard]] bool isPoison(Micros now);
     /// The request has run without a crash.
     void noteSound(Micros now);
-    /// The connection of attempt_ broke while the upstream may have been running the request.
-    void noteConnectionLost();
+    /// The connection of \p lost broke while the upstream may have been running the request.
+    void noteConnectionLost(const Attempt &lost);
     [[nodiscard]] Micros retryDelay(Micros base) const;
     /// Headers of an upstream's response that are forwarded to the caller.
     [[nodiscard]] std::vector<HeaderField> forwardedFields(const ResponseHead &head) const;
@@ -130,12 +149,12 @@
     Micros arrivedAt_ = 0;
     Micros deadline_ = 0;
     Verdict verdict_ = Verdict::NotRun; ///< Combined over all attempts.
-    std::vector<UpstreamRef> tried_;    ///< Upstreams that are not chosen again for this request.
-    std::uint32_t attemptsSent_ = 0;    ///< Number of upstreams that received the request.
+    AttemptHandover handover_;
     std::unique_ptr<Attempt> attempt_;
-    std::unique_ptr<Attempt> standby_; ///< Replaces the silent attempt_ once its connection is established.
+    std::unique_ptr<Attempt> standby_; ///< Replaces the silent attempt_ once it has shown that it takes the request.
     Timer deadlineTimer_;
-    Timer inactivityTimer_;
+    Timer inactivityTimer_; ///< Also the wait of resume().
+    Timer overlapTimer_;
     EventSplitter events_;
     std::string lastEventId_;
     Micros firstEventAt_ = 0;
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -14,13 +14,14 @@
 /// still be met.
 constexpr double InactivityShareOfTarget = 0.6;
 constexpr Micros MinInactivityTimeout = 100 * MicrosPerMilli;
-/// A resumable stream without a data event for this time is resumed at another upstream. Callers abandon a stream after two seconds or
-/// more.
-constexpr Micros MinStreamInactivityTimeout = 1200 * MicrosPerMilli;
+/// A resumable stream without a data event for this time is resumed at another upstream. A sound upstream may be silent for a second or so;
+/// callers abandon a stream after two seconds or more.
+constexpr Micros MinStreamInactivityTimeout = 1500 * MicrosPerMilli;
 /// A stream whose pauses stay within the target of its route is not resumed elsewhere. Callers abandon a stream after a pause of eight
 /// times the target.
 constexpr double InactivityPerTargetGap = 2.0;
 constexpr Micros InactivityRecheckInterval = 300 * MicrosPerMilli; ///< Interval of further checks while no retry is possible.
+constexpr Micros ResumeRecheckInterval = 150 * MicrosPerMilli;     ///< The same for a request whose attempt was given up.
 
 /// Share of the latency target of more urgent requests for which less urgent ones may occupy a model server's queue.
 constexpr double UrgentTargetShare = 0.8;
@@ -38,6 +39,14 @@
     return ids;
 }
 
+AttemptEnding endingOf(Verdict verdict, AttemptResult result)
+{
+    if (result == AttemptResult::Unreachable) {
+        return AttemptEnding::NotReceived;
+    }
+    return verdict == Verdict::NotRun ? AttemptEnding::Refused : AttemptEnding::Failed;
+}
+
 } // namespace
 
 bool hasUntriedUpstream(const UpstreamTable &upstreams, std::string_view service, std::span<const UpstreamRef> tried)
@@ -122,11 +131,11 @@
         onDeadline();
         return;
     }
-    if (!tried_.empty() && isPoison(now)) {
+    if (!handover_.tried().empty() && isPoison(now)) {
         giveUp("crashes_upstreams", RetryAfterCrashes);
         return;
     }
-    auto planned = planAttempt(tried_, now);
+    auto planned = planAttempt(handover_.tried(), now);
     if (const auto *const none = std::get_if<NoAttempt>(&planned)) {
         giveUp(none->reason, none->retryAfter);
         return;
@@ -147,40 +156,50 @@
     const std::uint64_t memoryTokens = planned.prefillPending ? request_.promptTokens + request_.outputTokens : 0;
     options_.context->upstreams->noteAttemptStarted(*planned.upstream, planned.choice.prefillTokens, memoryTokens);
     Attempt *const identity = &planned;
-    planned.call = std::make_shared<UpstreamCall>(UpstreamCallOptions{ .pool = options_.context->pool,
-                                                                       .codec = options_.context->codec,
-                                                                       .upstream = planned.upstream,
-                                                                       .requestId = request_.id,
-                                                                       .headOnly = options_.head.method == "HEAD",
-                                                                       .onConnected = [this] { switchToStandby(); },
-                                                                       .onHead = [this] { onHead(); },
-                                                                       .onBody = [this] { onBody(); },
-                                                                       .onEnd =
-                                                                           [this, identity](CallEnd end) {
-                                                                               if (identity == standby_.get()) {
-                                                                                   dropStandby(AttemptResult::Unreachable);
-                                                                               } else {
-                                                                                   onEnd(end);
-                                                                               }
-                                                                           } });
+    planned.call = std::make_shared<UpstreamCall>(
+        UpstreamCallOptions{ .pool = options_.context->pool,
+                             .codec = options_.context->codec,
+                             .upstream = planned.upstream,
+                             .requestId = request_.id,
+                             .headOnly = options_.head.method == "HEAD",
+                             .onConnected = [this] { startOverlap(); },
+                             .onHead = [this, identity] { identity == standby_.get() ? onStandbyHead() : onHead(); },
+                             .onBody =
+                                 [this, identity] {
+                                     if (identity == standby_.get()) {
+                                         (void)identity->call->takeBody();
+                                     } else {
+                                         onBody();
+                                     }
+                                 },
+                             .onEnd = [this, identity](CallEnd end) { identity == standby_.get() ? onStandbyEnd(end) : onEnd(end); } });
     return planned.call->connect(now);
 }
 
 void Exchange::send(Micros now)
 {
-    Attempt &current = *attempt_;
-    if (current.prefillPending) {
-        options_.context->onPrefillQueued(*current.upstream);
-        options_.context->upstreams->notePrefillStarted(*current.upstream, current.choice.salt, request_.parts, now);
-    }
+    resetResponse();
+    handover_.noteSent(attempt_->upstream);
+    sendTo(*attempt_, now);
+    startInactivityTimer();
+}
+
+void Exchange::resetResponse()
+{
     events_ = {};
     body_.clear();
-    current.lastProgressAt = now;
-    current.instructions.timeout = deadline_ - now - ReturnMargin;
-    current.instructions.resumeAfter = lastEventId_;
-    current.call->send(options_.context->codec->encodeRequest(options_.head, current.instructions, options_.body.size()).append(options_.body));
-    ++attemptsSent_;
-    startInactivityTimer();
+}
+
+void Exchange::sendTo(Attempt &target, Micros now)
+{
+    if (target.prefillPending) {
+        options_.context->onPrefillQueued(*target.upstream);
+        options_.context->upstreams->notePrefillStarted(*target.upstream, target.choice.salt, request_.parts, now);
+    }
+    target.lastProgressAt = now;
+    target.instructions.timeout = deadline_ - now - ReturnMargin;
+    target.instructions.resumeAfter = lastEventId_;
+    target.call->send(options_.context->codec->encodeRequest(options_.head, target.instructions, options_.body.size()).append(options_.body));
 }
 
 Micros Exchange::inactivityLimit() const
@@ -209,14 +228,17 @@
     }
     // The attempt continues until the standby is connected: the upstream may still respond, or another one may become available.
     inactivityTimer_.startOnce(InactivityRecheckInterval, [this] { onInactivity(); });
-    if (!standby_ && attemptsSent_ < route_->maxAttempts && deadline_ - now > 2 * ReturnMargin) {
+    if (!standby_ && handover_.mayStartSuccessor() && deadline_ - now > 2 * ReturnMargin) {
         prepareStandby(now);
     }
 }
 
 void Exchange::prepareStandby(Micros now)
 {
-    std::vector<UpstreamRef> excluded = tried_;
+    if (!options_.context->retries->isAvailable(service_->name, now)) {
+        return;
+    }
+    std::vector<UpstreamRef> excluded(handover_.tried().begin(), handover_.tried().end());
     excluded.push_back(attempt_->upstream);
     auto planned = planAttempt(excluded, now);
     if (std::holds_alternative<NoAttempt>(planned)) {
@@ -235,12 +257,12 @@
     case ConnectResult::Connecting:
         return;
     case ConnectResult::Connected:
-        switchToStandby();
+        startOverlap();
         return;
     }
 }
 
-void Exchange::switchToStandby()
+void Exchange::startOverlap()
 {
     if (!standby_) {
         return;
@@ -250,25 +272,108 @@
         dropStandby(AttemptResult::Abandoned);
         return;
     }
-    logEvent(LogLevel::Info, "attempt_abandoned",
+    logEvent(LogLevel::Info, "standby_sent",
              { { "id", request_.id },
                { "upstream", attempt_->upstream->record.id },
                { "next_upstream", standby_->upstream->record.id },
-               { "reason", "silent" },
                { "stream_started", options_.caller->hasStartedStream() },
                { "expected_ms", attempt_->choice.timeToFirstToken / MicrosPerMilli },
                { "silent_ms", (now - attempt_->lastProgressAt) / MicrosPerMilli } });
-    verdict_ = combine(verdict_, Verdict::MayHaveRun);
-    tried_.push_back(attempt_->upstream);
-    // Resetting the connection makes the upstream cancel the request before the next attempt starts.
+    handover_.startOverlap(standby_->upstream, now);
+    sendTo(*standby_, now);
+    overlapTimer_.startOnce(HandoverOverlap, [this] { onOverlapTime(); });
+}
+
+void Exchange::onOverlapTime()
+{
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    switch (handover_.onOverlapTime(monotonicNow())) {
+    case HandoverStep::None:
+        return;
+    case HandoverStep::EndSuccessor:
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+        dropStandby(AttemptResult::Failed);
+        return;
+    case HandoverStep::Replace:
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+        replaceAttempt("silent", AttemptResult::Failed);
+        return;
+    }
+}
+
+void Exchange::onStandbyHead()
+{
+    noteResponseHead(*standby_);
+    const unsigned status = standby_->call->head().status;
+    const UpstreamResponse &response = standby_->call->response();
+    const bool takes = response.authentic && !response.rejected && !response.misdirected && !response.hasContentEncoding && status < 500;
+    if (handover_.onSuccessorHead(takes) == HandoverStep::Replace) {
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+        replaceAttempt("standby_answered", AttemptResult::Failed);
+    }
+}
+
+void Exchange::onStandbyEnd(CallEnd end)
+{
+    if (!handover_.isOverlapping()) {
+        dropStandby(AttemptResult::Unreachable);
+        return;
+    }
+    const UpstreamResponse &response = standby_->call->response();
+    const bool refused = end == CallEnd::Complete && (response.rejected || response.misdirected);
+    if (refused && response.misdirected) {
+        noteMisdirected(*standby_);
+    }
+    if (end == CallEnd::Broken) {
+        noteConnectionLost(*standby_);
+    }
+    if (!refused) {
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    }
+    logEvent(LogLevel::Info, refused ? "standby_refused" : "standby_failed",
+             { { "id", request_.id },
+               { "upstream", attempt_->upstream->record.id },
+               { "next_upstream", standby_->upstream->record.id },
+               { "status", standby_->call->head().status },
+               { "misdirected", response.misdirected },
+               { "silent_ms", (monotonicNow() - attempt_->lastProgressAt) / MicrosPerMilli } });
+    handover_.onSuccessorEnded(refused ? AttemptEnding::Refused : AttemptEnding::Failed);
+    dropStandby(refused ? AttemptResult::Rejected : AttemptResult::Failed);
+}
+
+void Exchange::replaceAttempt(std::string_view reason, AttemptResult result)
+{
+    const Micros now = monotonicNow();
+    logEvent(LogLevel::Info, "attempt_abandoned",
+             { { "id", request_.id },
+               { "upstream", attempt_->upstream->record.id },
+               { "next_upstream", standby_->upstream->record.id },
+               { "reason", reason },
+               { "stream_started", options_.caller->hasStartedStream() },
+               { "overlap_ms", (now - standby_->lastProgressAt) / MicrosPerMilli },
+               { "silent_ms", (now - attempt_->lastProgressAt) / MicrosPerMilli } });
+    overlapTimer_.stop();
+    // Resetting the connection makes the upstream cancel the request.
     attempt_->call->cancel();
-    endAttempt(*attempt_, AttemptResult::Failed);
+    endAttempt(*attempt_, result);
     attempt_ = std::move(standby_);
-    send(now);
+    resetResponse();
+    startInactivityTimer();
+}
+
+void Exchange::noteProgress()
+{
+    attempt_->lastProgressAt = monotonicNow();
+    if (handover_.onProgress() == HandoverStep::EndSuccessor) {
+        logEvent(LogLevel::Info, "standby_ended", { { "id", request_.id }, { "next_upstream", standby_->upstream->record.id }, { "reason", "progress" } });
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    }
+    dropStandby(AttemptResult::Abandoned);
 }
 
 void Exchange::dropStandby(AttemptResult result)
 {
+    overlapTimer_.stop();
     if (const std::unique_ptr<Attempt> dropped = std::move(standby_)) {
         dropped->call->cancel();
         endAttempt(*dropped, result);
@@ -280,18 +385,18 @@
     if (lastVerdict != Verdict::NotRun && !route_->isRetryable()) {
         return false;
     }
-    return attemptsSent_ < route_->maxAttempts && deadline_ - now > 2 * ReturnMargin && options_.context->retries->take(service_->name, now);
+    return handover_.sent() < route_->maxAttempts && deadline_ - now > 2 * ReturnMargin && options_.context->retries->take(service_->name, now);
 }
 
-void Exchange::noteConnectionLost()
+void Exchange::noteConnectionLost(const Attempt &lost)
 {
-    const Upstream &upstream = *attempt_->upstream;
+    const Upstream &upstream = *lost.upstream;
     if (isSound_ || !upstream.present || upstream.record.draining) {
         // A request that has run for a while is not the cause, and a leaving process ends without a crash.
         return;
     }
-    options_.context->poisonRequests->noteConnectionLost(upstream.process, features(), attempt_->startedAt, monotonicNow());
-    options_.context->onConnectionLost(attempt_->upstream);
+    options_.context->poisonRequests->noteConnectionLost(upstream.process, features(), lost.startedAt, monotonicNow());
+    options_.context->onConnectionLost(lost.upstream);
 }
 
 void Exchange::onAttemptFailed(Verdict verdict, AttemptResult result, std::string_view reason)
@@ -306,31 +411,84 @@
                { "verdict", verdict },
                { "after_ms", (now - attempt_->startedAt) / MicrosPerMilli },
                { "kept_connection", attempt_->call->usedIdleConnection() },
-               { "sent", attemptsSent_ },
+               { "sent", handover_.sent() },
                { "awaits_first_token", attempt_->prefillPending },
                { "parts", sharedPartIds(request_.parts) } });
     options_.context->metrics->count("carobhall_attempts_failed_total", "reason=\"" + std::string(reason) + "\"");
     verdict_ = combine(verdict_, verdict);
+    const AttemptEnding ending = endingOf(verdict, result);
+    if (handover_.onSilentEnded(ending) == HandoverStep::Replace) {
+        replaceAttempt(reason, result);
+        return;
+    }
     attempt_->call->cancel();
     dropStandby(AttemptResult::Abandoned);
     endAttempt(*attempt_, result);
-    const bool received = result != AttemptResult::Unreachable;
-    tried_.push_back(upstream);
-    if (!received) {
-        // The upstream has not received the request, so this does not count as an attempt. It is in tried_ only so that it is not
-        // chosen again.
-        const std::size_t triedCount = tried_.size();
-        if (triedCount < 4 && deadline_ - now > 2 * ReturnMargin && hasUntriedUpstream(*options_.context->upstreams, service_->name, tried_)) {
+    handover_.noteEnded(upstream, ending);
+    if (handover_.hasAbandoned()) {
+        if (ending == AttemptEnding::Refused) {
+            handover_.noteNotSent();
+        }
+        resume(reason);
+        return;
+    }
+    if (ending == AttemptEnding::NotReceived) {
+        // The upstream has not received the request, so this does not count as an attempt. It is among the tried ones only so that it is
+        // not chosen again.
+        const std::size_t triedCount = handover_.tried().size();
+        if (triedCount < 4 && deadline_ - now > 2 * ReturnMargin && hasUntriedUpstream(*options_.context->upstreams, service_->name, handover_.tried())) {
             attempt();
             return;
         }
-    } else if (hasUntriedUpstream(*options_.context->upstreams, service_->name, tried_) && mayRetry(verdict, now)) {
+    } else if (hasUntriedUpstream(*options_.context->upstreams, service_->name, handover_.tried()) && mayRetry(verdict, now)) {
         attempt();
         return;
     }
     giveUp(reason, RetryAfterRejected);
 }
 
+std::vector<UpstreamRef> Exchange::upstreamsNotToUse(bool again) const
+{
+    std::vector<UpstreamRef> excluded;
+    for (const auto &[id, upstream] : options_.context->upstreams->byId()) {
+        if (!handover_.mayUse(upstream, again)) {
+            excluded.push_back(upstream);
+        }
+    }
+    return excluded;
+}
+
+void Exchange::resume(std::string_view reason)
+{
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    const Micros now = monotonicNow();
+    if (!handover_.canBeServed() || isPoison(now)) {
+        giveUp(reason, RetryAfterRejected);
+        return;
+    }
+    if (deadline_ - now > 2 * ReturnMargin && options_.context->retries->isAvailable(service_->name, now)) {
+        for (const bool again : { false, true }) {
+            auto planned = planAttempt(upstreamsNotToUse(again), now);
+            if (std::holds_alternative<NoAttempt>(planned)) {
+                continue;
+            }
+            attempt_ = std::get<std::unique_ptr<Attempt>>(std::move(planned));
+            if (connect(*attempt_, now) == ConnectResult::Failed) {
+                endAttempt(*attempt_, AttemptResult::Unreachable);
+                handover_.noteEnded(attempt_->upstream, AttemptEnding::NotReceived);
+                break;
+            }
+            (void)options_.context->retries->take(service_->name, now);
+            logEvent(LogLevel::Info, "request_resumed",
+                     { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "again", again }, { "sent", handover_.sent() } });
+            send(now);
+            return;
+        }
+    }
+    logEvent(LogLevel::Info, "request_waiting", { { "id", request_.id }, { "reason", reason }, { "remaining_ms", (deadline_ - now) / MicrosPerMilli } });
+    inactivityTimer_.startOnce(ResumeRecheckInterval, [this, reason = std::string(reason)] { resume(reason); });
+}
+
 void Exchange::endAttempt(Attempt &ended, AttemptResult result)
 {
     if (&ended == attempt_.get()) {
--- a/packages/gateway/src/retry_budget.cpp
+++ b/packages/gateway/src/retry_budget.cpp
@@ -29,9 +29,9 @@
     ++bucketAt(service, now).requests;
 }
 
-bool RetryBudget::take(std::string_view service, Micros now)
+bool RetryBudget::isAvailable(std::string_view service, Micros now)
 {
-    Bucket &current = bucketAt(service, now);
+    const Bucket &current = bucketAt(service, now);
     double requests = 0.0;
     double retries = 0.0;
     for (const Bucket &bucket : bucketsOfService_.find(service)->second) {
@@ -41,10 +41,15 @@
         }
     }
     const double allowed = options_.margin * (options_.ratio * requests + options_.allowance / std::max<std::uint32_t>(1, options_.gatewayCount));
-    if (retries + 1.0 > allowed) {
+    return retries + 1.0 <= allowed;
+}
+
+bool RetryBudget::take(std::string_view service, Micros now)
+{
+    if (!isAvailable(service, now)) {
         return false;
     }
-    ++current.retries;
+    ++bucketAt(service, now).retries;
     ++taken_;
     return true;
 }
