Run one-shot timers after the input that waits in sockets

Callers saw 504 or a truncated stream although the server's answer was in the gateway's socket before the deadline, when the main loop was held up meanwhile, for example by a large configuration. GLib dispatches timers and sockets at one priority in the order in which they were attached, so the timer of the deadline could run before the bytes were read. An expired one-shot timer now runs its action in the next iteration of the main loop, after the sockets of this one. A lower priority for timers was ruled out: busy sockets could hold them back without end.

Evidence: platform_silent_server_test/bytesThatWaitInTheSocketCountBeforeTimersThatExpiredMeanwhile before: 504 instead of 200, and a truncated stream; after: both complete.

--- a/packages/runtime/include/carobhall/runtime.h
+++ b/packages/runtime/include/carobhall/runtime.h
@@ -55,7 +55,8 @@
     Timer(const Timer &) = delete;
     Timer &operator=(const Timer &) = delete;
 
-    /// Calls \p action once after \p delay, which is rounded up to milliseconds. Cancels an earlier start.
+    /// Calls \p action once after \p delay, which is rounded up to milliseconds, and after the input that waits in sockets when the delay has
+    /// passed, so that \p action can rely on having seen it. Cancels an earlier start.
     void startOnce(Micros delay, std::function<void()> action);
     /// Calls \p action periodically, every \p interval, which is rounded up to milliseconds. Cancels an earlier start.
     void startRepeating(Micros interval, std::function<void()> action);
@@ -64,6 +65,8 @@
 
 private:
     void start(Micros delay, bool repeats, std::function<void()> action);
+    /// Calls \p action in the next iteration of the main loop.
+    void runAfterInput(std::function<void()> action);
 
     struct Slot;
     Slot *slot_ = nullptr;
--- a/packages/runtime/src/glib.cpp
+++ b/packages/runtime/src/glib.cpp
@@ -9,6 +9,7 @@
     Timer *owner = nullptr; ///< Null when the timer has been stopped or a one-shot action has started.
     guint source = 0;
     bool repeats = false;
+    bool expired = false; ///< The action runs in this iteration of the main loop.
     std::function<void()> action;
 
     static gboolean dispatch(gpointer data)
@@ -18,6 +19,11 @@
             slot->action();
             return G_SOURCE_CONTINUE;
         }
+        if (!slot->expired) {
+            // Sockets that became readable while the main loop was held up are dispatched in this iteration, perhaps after this timer.
+            slot->owner->runAfterInput(std::move(slot->action));
+            return G_SOURCE_REMOVE;
+        }
         // The action may restart or destroy the timer, so the slot is detached first.
         slot->owner->slot_ = nullptr;
         slot->owner = nullptr;
@@ -60,11 +66,17 @@
 void Timer::start(Micros delay, bool repeats, std::function<void()> action)
 {
     stop();
-    slot_ = new Slot{ .owner = this, .source = 0, .repeats = repeats, .action = std::move(action) };
+    slot_ = new Slot{ .owner = this, .source = 0, .repeats = repeats, .expired = false, .action = std::move(action) };
     const auto delayMs = static_cast<guint>((std::max<Micros>(delay, 0) + MicrosPerMilli - 1) / MicrosPerMilli);
     slot_->source = g_timeout_add_full(G_PRIORITY_DEFAULT, delayMs, &Slot::dispatch, slot_, [](gpointer data) { delete static_cast<Slot *>(data); });
 }
 
+void Timer::runAfterInput(std::function<void()> action)
+{
+    slot_ = new Slot{ .owner = this, .source = 0, .repeats = false, .expired = true, .action = std::move(action) };
+    slot_->source = g_idle_add_full(G_PRIORITY_DEFAULT, &Slot::dispatch, slot_, [](gpointer data) { delete static_cast<Slot *>(data); });
+}
+
 SignalWatch::SignalWatch(int signalNumber, std::function<void()> action)
     : action_(std::move(action))
 {
