Reserve a retry before a silent attempt is given up without an answer

Idempotent requests got 504 at their deadline: their silent server was given up after the overlap, the next one refused later than that, and the retry budget was spent, so that the request could not go back. The end of the overlap without an answer now ends the first attempt only if a retry for the return can be taken from the budget; else the second one is ended and the first keeps the request. When only the reserved retry is left, it goes to an upstream that was silent, not to one that may refuse.

--- a/packages/gateway/include/carobhall/attempt_handover.h
+++ b/packages/gateway/include/carobhall/attempt_handover.h
@@ -8,7 +8,7 @@
 //     handover.onProgress()                           // the first one goes on: EndSuccessor
 //     handover.onSuccessorHead(takes)                 // the second one answers: Replace, the first is reset and the second forwarded
 //     handover.onSuccessorEnded(ending)               // the second one has refused: the first one keeps the request
-//     handover.onOverlapTime(now)                     // no refusal for HandoverOverlap: Replace
+//     handover.onOverlapTime(now, mayReturn)          // no refusal for HandoverOverlap: Replace
 //
 // A silent upstream may be sound and go on, and a successor may refuse. So the silent attempt is given up only when the successor has
 // shown that it takes the request. Once an attempt has been given up, a refusal of a later upstream does not end the request:
@@ -85,14 +85,17 @@
     void onSuccessorEnded(AttemptEnding ending);
     /// The first attempt has ended without a result during an overlap.
     [[nodiscard]] HandoverStep onSilentEnded(AttemptEnding ending);
-    /// HandoverOverlap may have passed.
-    [[nodiscard]] HandoverStep onOverlapTime(Micros now);
+    /// HandoverOverlap may have passed. \p mayReturn: a retry is reserved for sending the request back, if the successor refuses it later; else the
+    /// successor is ended and not the first attempt.
+    [[nodiscard]] HandoverStep onOverlapTime(Micros now, bool mayReturn);
 
     /// An attempt was given up although its upstream may be sound. The request is then not ended before its deadline while
     /// canBeServed().
     [[nodiscard]] bool hasAbandoned() const;
     /// Whether the next attempt may use \p upstream. \p again: also if it has refused or was silent, after an attempt was given up.
     [[nodiscard]] bool mayUse(const UpstreamRef &upstream, bool again) const;
+    /// Whether an attempt at \p upstream was given up only because it was silent.
+    [[nodiscard]] bool wasSilent(const UpstreamRef &upstream) const;
     /// Whether any upstream, now or later, may still get the request after an attempt was given up.
     [[nodiscard]] bool canBeServed() const;
 
--- a/packages/gateway/src/attempt_handover.cpp
+++ b/packages/gateway/src/attempt_handover.cpp
@@ -104,7 +104,7 @@
     return isOverlapping() ? replace(ending) : HandoverStep::None;
 }
 
-HandoverStep AttemptHandover::onOverlapTime(Micros now)
+HandoverStep AttemptHandover::onOverlapTime(Micros now, bool mayReturn)
 {
     if (!isOverlapping() || now - overlapSince_ < HandoverOverlap) {
         return HandoverStep::None;
@@ -113,7 +113,7 @@
         onSuccessorEnded(AttemptEnding::Failed);
         return HandoverStep::EndSuccessor;
     }
-    return replace(AttemptEnding::Silent);
+    return mayReturn ? replace(AttemptEnding::Silent) : onProgress();
 }
 
 HandoverStep AttemptHandover::replace(AttemptEnding ending)
@@ -141,6 +141,12 @@
     return again && server->ending != AttemptEnding::Failed && (server->mayHaveRun || mayAddUpstream);
 }
 
+bool AttemptHandover::wasSilent(const UpstreamRef &upstream) const
+{
+    const Server *const server = find(upstream);
+    return server != nullptr && server->ending == AttemptEnding::Silent;
+}
+
 bool AttemptHandover::canBeServed() const
 {
     return upstreamsThatMayHaveRun() < maxAttempts_
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -87,7 +87,7 @@
     /// The current attempt goes on: the standby is not needed.
     void noteProgress();
     /// Upstreams that the next attempt must not use after one was given up.
-    [[nodiscard]] std::vector<UpstreamRef> upstreamsNotToUse(bool again) const;
+    [[nodiscard]] std::vector<UpstreamRef> upstreamsNotToUse(bool again, bool onlySilent) const;
     /// Sends a request whose attempt was given up to any upstream that can take it, or waits until one can.
     void resume(std::string_view reason);
     /// The silent attempt has made progress or has ended, or the standby is of no use: closes the standby's connection.
@@ -155,6 +155,7 @@
     Timer deadlineTimer_;
     Timer inactivityTimer_; ///< Also the wait of resume().
     Timer overlapTimer_;
+    bool retryReserved_ = false; ///< A retry was taken from the budget for the return to a silent upstream.
     EventSplitter events_;
     std::string lastEventId_;
     Micros firstEventAt_ = 0;
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -287,12 +287,18 @@
 void Exchange::onOverlapTime()
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
-    switch (handover_.onOverlapTime(monotonicNow())) {
+    const Micros now = monotonicNow();
+    if (!retryReserved_) {
+        retryReserved_ = options_.context->retries->take(service_->name, now);
+    }
+    switch (handover_.onOverlapTime(now, retryReserved_)) {
     case HandoverStep::None:
         return;
     case HandoverStep::EndSuccessor:
+        logEvent(LogLevel::Info, "standby_ended",
+                 { { "id", request_.id }, { "next_upstream", standby_->upstream->record.id }, { "reason", retryReserved_ ? "failed" : "no_retry_left" } });
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
-        dropStandby(AttemptResult::Failed);
+        dropStandby(retryReserved_ ? AttemptResult::Failed : AttemptResult::Abandoned);
         return;
     case HandoverStep::Replace:
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
@@ -447,11 +453,11 @@
     giveUp(reason, RetryAfterRejected);
 }
 
-std::vector<UpstreamRef> Exchange::upstreamsNotToUse(bool again) const
+std::vector<UpstreamRef> Exchange::upstreamsNotToUse(bool again, bool onlySilent) const
 {
     std::vector<UpstreamRef> excluded;
     for (const auto &[id, upstream] : options_.context->upstreams->byId()) {
-        if (!handover_.mayUse(upstream, again)) {
+        if (!handover_.mayUse(upstream, again) || (onlySilent && !handover_.wasSilent(upstream))) {
             excluded.push_back(upstream);
         }
     }
@@ -466,9 +472,11 @@
         giveUp(reason, RetryAfterRejected);
         return;
     }
-    if (deadline_ - now > 2 * ReturnMargin && options_.context->retries->isAvailable(service_->name, now)) {
+    // The reserved retry is for an upstream that has worked on the request; others may refuse it.
+    const bool available = options_.context->retries->isAvailable(service_->name, now);
+    if (deadline_ - now > 2 * ReturnMargin && (available || retryReserved_)) {
         for (const bool again : { false, true }) {
-            auto planned = planAttempt(upstreamsNotToUse(again), now);
+            auto planned = planAttempt(upstreamsNotToUse(again, !available), now);
             if (std::holds_alternative<NoAttempt>(planned)) {
                 continue;
             }
@@ -478,7 +486,9 @@
                 handover_.noteEnded(attempt_->upstream, AttemptEnding::NotReceived);
                 break;
             }
-            (void)options_.context->retries->take(service_->name, now);
+            if (!options_.context->retries->take(service_->name, now)) {
+                retryReserved_ = false;
+            }
             logEvent(LogLevel::Info, "request_resumed",
                      { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "again", again }, { "sent", handover_.sent() } });
             send(now);
