Forward no comments and no repeated events of a resumed attempt

Callers could get an event that came after a comment of a server that began the stream again, a clean end of a resumed stream that held only comments, or lose an event: an event that was read in the same batch before a repeated one counted as delivered and was dropped. Cause: a comment counted as a contribution of the attempt, and the batch was dropped as a whole. Ids must now increase within every attempt, what precedes a repeated event is sent first, and comments of a resumed attempt are dropped until it contributes an event.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -221,27 +221,39 @@
     }
     const Micros now = monotonicNow();
     std::string out;
+    bool inOrder = true;
     while (auto event = events_.next()) {
+        if (event->id && !follows(*event->id, lastEventId_)) {
+            inOrder = false;
+            break;
+        }
         if (attempt_->prefillPending) {
             attempt_->prefillPending = false;
             options_.context->upstreams->noteFirstToken(*attempt_->upstream, attempt_->choice.prefillTokens);
             options_.context->upstreams->notePromptCached(*attempt_->upstream, attempt_->choice.salt, request_.parts, now);
         }
         if (event->id) {
-            if (resumed && !follows(*event->id, lastEventId_)) {
-                // The server has begun the stream again instead of resuming it.
-                onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "not_resumed");
-                return;
-            }
             lastEventId_ = *event->id;
         }
         if (event->hasData || event->id) {
             // Comments keep a connection open but are no progress.
+            attemptForwards_ = true;
             noteProgress();
         }
-        out += event->text;
+        if (attemptForwards_ || !options_.caller->hasStartedStream()) {
+            out += event->text;
+        }
+    }
+    sendEvents(out, now);
+    if (!inOrder) {
+        // The server repeats events, or has begun the stream again instead of resuming it.
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "event_out_of_order");
     }
-    if (out.empty()) {
+}
+
+void Exchange::sendEvents(std::string_view events, Micros now)
+{
+    if (events.empty()) {
         return;
     }
     if (firstEventAt_ > 0 && now - firstEventAt_ >= SoundStreamTime) {
@@ -252,8 +264,7 @@
         options_.context->metrics->observe("carobhall_first_event_seconds", "route=\"" + route_->name + "\"", now - arrivedAt_);
         options_.caller->startStream(attempt_->call->head().status, forwardedFields(attempt_->call->head()));
     }
-    attemptForwards_ = true;
-    options_.caller->sendStream(out);
+    options_.caller->sendStream(events);
 }
 
 void Exchange::onEnd(CallEnd end)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -111,6 +111,8 @@
     void onBody();
     void onEnd(CallEnd end);
     void forwardEvents();
+    /// Sends \p events to the caller, after the head of the response if they are the first.
+    void sendEvents(std::string_view events, Micros now);
     void onStreamEnd();
     void onAttemptFailed(Verdict verdict, AttemptResult result, std::string_view reason);
     /// Cancels the attempt in progress, if any: its result is not needed any more.
