--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -35,7 +35,7 @@
 // again, for another write. Each restore begins a new era. A version contains the era beside the revision, so that versions of different
 // eras are never equal and those of the newer era are higher.
 
-inline constexpr unsigned RevisionBits = 48;
+inline constexpr unsigned RevisionBits = 40;
 
 /// The version of \p revision in \p era. A platform that names no era has era 0. Precondition: the revision has at most RevisionBits.
 [[nodiscard]] constexpr std::uint64_t versionOf(std::uint64_t era, std::uint64_t revision)
