Continue a stream after an error of the successor, and ask nobody twice at once

Callers still lost a stream whose silent server was sound: the successor answered a sealed error, or no stream, after the silent attempt had been reset (or reset it thereby), and the error truncated the stream. Cause: the answer of a successor counted as the answer to the request, although the request had one under way. In a started stream an error now counts as a failed attempt, and only an event stream replaces the silent attempt.

Also: a request whose attempt was given up asked refusing upstreams again without a pause and used up the service's retries; it is refused at once when no listed upstream may take it any more; both retries of a handover are taken before anything is sent, so that no working successor is reset for want of the second; a reservation lasts 2 s; a request that returns to an upstream uses a new connection, on which no copy of its earlier refusal can wait; a declined successor never takes over, because part of its answer was dropped; an earlier successor may be asked again; ids of events are compared only if both are numbers.

--- a/packages/gateway/include/carobhall/attempt_handover.h
+++ b/packages/gateway/include/carobhall/attempt_handover.h
@@ -8,7 +8,7 @@
 //     handover.onProgress()                           // the first one goes on: EndSuccessor
 //     handover.onSuccessorHead(takes)                 // the second one answers: Replace, the first is reset and the second forwarded
 //     handover.onSuccessorEnded(ending)               // the second one has refused: the first one keeps the request
-//     handover.onOverlapTime(now, mayReturn)          // no refusal for HandoverOverlap: Replace
+//     handover.onOverlapTime(now)                     // no refusal for HandoverOverlap: Replace
 //
 // A silent upstream may be sound and go on, and a successor may refuse. So the silent attempt is given up only when the successor has
 // shown that it takes the request. Once an attempt has been given up, a refusal of a later upstream does not end the request:
@@ -21,7 +21,7 @@
 namespace Carobhall
 {
 
-/// How long two upstreams may work on one request. The users' bound is 400 ms; the rest covers the transfer of the reset.
+/// How long two upstreams may work on one request. At most 400 ms are allowed; the rest covers the transfer of the reset.
 inline constexpr Micros HandoverOverlap = 250 * MicrosPerMilli;
 
 /// How an attempt ended, as far as it matters for the choice of the next upstream.
@@ -85,9 +85,8 @@
     void onSuccessorEnded(AttemptEnding ending);
     /// The first attempt has ended without a result during an overlap.
     [[nodiscard]] HandoverStep onSilentEnded(AttemptEnding ending);
-    /// HandoverOverlap may have passed. \p mayReturn: a retry is reserved for sending the request back, if the successor refuses it later; else the
-    /// successor is ended and not the first attempt.
-    [[nodiscard]] HandoverStep onOverlapTime(Micros now, bool mayReturn);
+    /// HandoverOverlap may have passed.
+    [[nodiscard]] HandoverStep onOverlapTime(Micros now);
 
     /// An attempt was given up although its upstream may be sound. The request is then not ended before its deadline while
     /// canBeServed().
--- a/packages/gateway/src/attempt_handover.cpp
+++ b/packages/gateway/src/attempt_handover.cpp
@@ -55,7 +55,7 @@
 
 bool AttemptHandover::mayStartSuccessor() const
 {
-    return !isOverlapping() && (abandoned_ ? upstreamsThatMayHaveRun() : sent_) < maxAttempts_;
+    return !isOverlapping() && (abandoned_ ? canBeServed() : sent_ < maxAttempts_);
 }
 
 void AttemptHandover::startOverlap(const UpstreamRef &successor, Micros now)
@@ -101,10 +101,14 @@
 
 HandoverStep AttemptHandover::onSilentEnded(AttemptEnding ending)
 {
+    if (isOverlapping() && declined_) {
+        // Part of its answer was dropped.
+        onSuccessorEnded(AttemptEnding::Failed);
+    }
     return isOverlapping() ? replace(ending) : HandoverStep::None;
 }
 
-HandoverStep AttemptHandover::onOverlapTime(Micros now, bool mayReturn)
+HandoverStep AttemptHandover::onOverlapTime(Micros now)
 {
     if (!isOverlapping() || now - overlapSince_ < HandoverOverlap) {
         return HandoverStep::None;
@@ -113,7 +117,7 @@
         onSuccessorEnded(AttemptEnding::Failed);
         return HandoverStep::EndSuccessor;
     }
-    return mayReturn ? replace(AttemptEnding::Silent) : onProgress();
+    return replace(AttemptEnding::Silent);
 }
 
 HandoverStep AttemptHandover::replace(AttemptEnding ending)
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -26,6 +26,20 @@
     return { text.data(), static_cast<std::size_t>(std::max(0, size)) };
 }
 
+/// Whether the event \p id may follow \p last in a stream. Ids increase; those that are no numbers are not compared.
+bool follows(std::string_view id, std::string_view last)
+{
+    std::uint64_t number = 0;
+    std::uint64_t lastNumber = 0;
+    const auto isNumber = [](std::string_view text, std::uint64_t &value) {
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        return error == std::errc() && end == text.data() + text.size();
+    };
+    return !isNumber(id, number) || !isNumber(last, lastNumber) || number > lastNumber;
+}
+
+} // namespace
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -36,18 +50,6 @@
     return findField(head.fields, "Content-Type").value_or("").starts_with("text/event-stream");
 }
 
-/// Whether the event \p id may follow \p last in a stream. Ids increase; those that are no numbers are not compared.
-bool follows(std::string_view id, std::string_view last)
-{
-    std::uint64_t number = 0;
-    std::uint64_t lastNumber = 0;
-    const bool comparable = std::from_chars(id.data(), id.data() + id.size(), number).ec == std::errc()
-        && std::from_chars(last.data(), last.data() + last.size(), lastNumber).ec == std::errc();
-    return !comparable || number > lastNumber;
-}
-
-} // namespace
-
 Exchange::Exchange(ExchangeOptions options)
     : options_(std::move(options))
 {
@@ -161,7 +163,8 @@
 {
     noteResponseHead(*attempt_);
     const UpstreamResponse &response = attempt_->call->response();
-    if (route_->kind != RequestKind::Streaming && response.authentic && !response.rejected && !response.misdirected) {
+    const bool isError = attempt_->call->head().status >= 500;
+    if (route_->kind != RequestKind::Streaming && response.authentic && !response.rejected && !response.misdirected && !isError) {
         noteProgress();
     }
 }
@@ -223,7 +226,8 @@
     std::string out;
     bool inOrder = true;
     while (auto event = events_.next()) {
-        if (event->id && !follows(*event->id, lastEventId_)) {
+        const bool continues = attemptForwards_ || options_.caller->hasStartedStream();
+        if (event->id && continues && !follows(*event->id, lastEventId_)) {
             inOrder = false;
             break;
         }
@@ -297,6 +301,11 @@
         onStreamEnd();
         return;
     }
+    if (options_.caller->hasStartedStream()) {
+        // An error is no part of the stream, which another upstream may still continue.
+        onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "error_in_stream");
+        return;
+    }
     verdict_ = Verdict::Ran;
     if (head.status >= 500 && route_->kind == RequestKind::Idempotent) {
         const Micros now = monotonicNow();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -69,7 +69,8 @@
     /// Sends the request to an upstream; ends the exchange when there is none.
     void attempt();
     /// Takes or starts the connection of \p planned and accounts for it in the table of upstreams.
-    [[nodiscard]] ConnectResult connect(Attempt &planned, Micros now);
+    /// \p mayReuse: also a kept connection may be used.
+    [[nodiscard]] ConnectResult connect(Attempt &planned, Micros now, bool mayReuse = true);
     /// Sends the request on the connection of attempt_.
     void send(Micros now);
     void sendTo(Attempt &target, Micros now);
@@ -80,6 +81,10 @@
     /// The connection of the standby is established: sends the request there too, if the retry budget allows.
     void startOverlap();
     void onOverlapTime();
+    /// Takes a retry from the budget that hasReservedRetry() reports, unless there is one. Returns hasReservedRetry().
+    bool reserveRetry(Micros now);
+    /// Whether a retry is reserved for the return to an upstream after its successor has refused.
+    [[nodiscard]] bool hasReservedRetry(Micros now) const;
     void onStandbyHead();
     void onStandbyEnd(CallEnd end);
     /// Resets the current attempt; the standby takes its place.
@@ -89,7 +94,10 @@
     /// Upstreams that the next attempt must not use after one was given up.
     [[nodiscard]] std::vector<UpstreamRef> upstreamsNotToUse(bool again, bool onlySilent) const;
     /// Sends a request whose attempt was given up to any upstream that can take it, or waits until one can.
-    void resume(std::string_view reason);
+    /// \p mayAskAgain: also upstreams that have refused or were silent.
+    void resume(std::string_view reason, bool mayAskAgain);
+    /// Whether a listed upstream may still take a request whose attempt was given up.
+    [[nodiscard]] bool mayBeServed() const;
     /// The silent attempt has made progress or has ended, or the standby is of no use: closes the standby's connection.
     void dropStandby(AttemptResult result);
     /// Draws a service of the route at random, by weight.
@@ -157,7 +165,8 @@
     Timer deadlineTimer_;
     Timer inactivityTimer_; ///< Also the wait of resume().
     Timer overlapTimer_;
-    bool retryReserved_ = false; ///< A retry was taken from the budget for the return to a silent upstream.
+    std::optional<Micros> retryReservedAt_; ///< See hasReservedRetry().
+    bool isWaiting_ = false;                ///< resume() waits until an upstream can take the request.
     EventSplitter events_;
     bool attemptForwards_ = false; ///< The current attempt has contributed events to the response.
     std::string lastEventId_;
--- a/packages/gateway/src/exchange_attempt.h
+++ b/packages/gateway/src/exchange_attempt.h
@@ -18,6 +18,8 @@
 /// Time that a response needs to reach the caller. The upstream's timeout is shorter than the caller's by this much.
 inline constexpr Micros ReturnMargin = 20 * MicrosPerMilli;
 
+[[nodiscard]] bool isSuccess(unsigned status);
+[[nodiscard]] bool isEventStream(const ResponseHead &head);
 /// Whether \p service has a usable upstream that is not in \p tried.
 [[nodiscard]] bool hasUntriedUpstream(const UpstreamTable &upstreams, std::string_view service, std::span<const UpstreamRef> tried);
 
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -22,6 +22,8 @@
 constexpr double InactivityPerTargetGap = 2.0;
 constexpr Micros InactivityRecheckInterval = 300 * MicrosPerMilli; ///< Interval of further checks while no retry is possible.
 constexpr Micros ResumeRecheckInterval = 150 * MicrosPerMilli;     ///< The same for a request whose attempt was given up.
+/// How long a reserved retry may be used. It counts in the window of the budget in which it was taken.
+constexpr Micros RetryReservationTime = 2 * MicrosPerSecond;
 
 /// Share of the latency target of more urgent requests for which less urgent ones may occupy a model server's queue.
 constexpr double UrgentTargetShare = 0.8;
@@ -152,7 +154,7 @@
     send(now);
 }
 
-ConnectResult Exchange::connect(Attempt &planned, Micros now)
+ConnectResult Exchange::connect(Attempt &planned, Micros now, bool mayReuse)
 {
     planned.startedAt = now;
     planned.lastProgressAt = now;
@@ -166,6 +168,7 @@
                              .upstream = planned.upstream,
                              .requestId = request_.id,
                              .headOnly = options_.head.method == "HEAD",
+                             .mayReuseConnection = mayReuse,
                              .onConnected = [this] { startOverlap(); },
                              .onHead = [this, identity] { identity == standby_.get() ? onStandbyHead() : onHead(); },
                              .onBody =
@@ -240,10 +243,14 @@
 
 void Exchange::prepareStandby(Micros now)
 {
-    if (!options_.context->retries->isAvailable(service_->name, now)) {
+    if (!options_.context->retries->isAvailable(service_->name, now, hasReservedRetry(now) ? 1 : 2)) {
         return;
     }
     std::vector<UpstreamRef> excluded(handover_.tried().begin(), handover_.tried().end());
+    if (handover_.hasAbandoned()) {
+        // Also an earlier successor, which may be at work on the request or have been silent like the current upstream.
+        excluded = upstreamsNotToUse(true, false);
+    }
     excluded.push_back(attempt_->upstream);
     auto planned = planAttempt(excluded, now);
     if (std::holds_alternative<NoAttempt>(planned)) {
@@ -255,7 +262,7 @@
         return;
     }
     standby_ = std::move(next);
-    switch (connect(*standby_, now)) {
+    switch (connect(*standby_, now, !handover_.hasAbandoned())) {
     case ConnectResult::Failed:
         dropStandby(AttemptResult::Unreachable);
         return;
@@ -273,7 +280,9 @@
         return;
     }
     const Micros now = monotonicNow();
-    if (deadline_ - now <= 2 * ReturnMargin || !options_.context->retries->take(service_->name, now)) {
+    // Without a second retry, for going back if the successor refuses later, the silent attempt keeps the request.
+    const bool affordable = options_.context->retries->isAvailable(service_->name, now, hasReservedRetry(now) ? 1 : 2);
+    if (deadline_ - now <= 2 * ReturnMargin || !affordable || !reserveRetry(now) || !options_.context->retries->take(service_->name, now)) {
         dropStandby(AttemptResult::Abandoned);
         return;
     }
@@ -289,21 +298,30 @@
     overlapTimer_.startOnce(HandoverOverlap, [this] { onOverlapTime(); });
 }
 
+bool Exchange::reserveRetry(Micros now)
+{
+    if (!hasReservedRetry(now) && options_.context->retries->take(service_->name, now)) {
+        retryReservedAt_ = now;
+    }
+    return hasReservedRetry(now);
+}
+
+bool Exchange::hasReservedRetry(Micros now) const
+{
+    return retryReservedAt_ && now - *retryReservedAt_ <= RetryReservationTime;
+}
+
 void Exchange::onOverlapTime()
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
     const Micros now = monotonicNow();
-    if (!retryReserved_) {
-        retryReserved_ = options_.context->retries->take(service_->name, now);
-    }
-    switch (handover_.onOverlapTime(now, retryReserved_)) {
+    switch (handover_.onOverlapTime(now)) {
     case HandoverStep::None:
         return;
     case HandoverStep::EndSuccessor:
-        logEvent(LogLevel::Info, "standby_ended",
-                 { { "id", request_.id }, { "next_upstream", standby_->upstream->record.id }, { "reason", retryReserved_ ? "failed" : "no_retry_left" } });
+        logEvent(LogLevel::Info, "standby_ended", { { "id", request_.id }, { "next_upstream", standby_->upstream->record.id }, { "reason", "failed" } });
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
-        dropStandby(retryReserved_ ? AttemptResult::Failed : AttemptResult::Abandoned);
+        dropStandby(AttemptResult::Failed);
         return;
     case HandoverStep::Replace:
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
@@ -315,9 +333,11 @@
 void Exchange::onStandbyHead()
 {
     noteResponseHead(*standby_);
-    const unsigned status = standby_->call->head().status;
+    const ResponseHead &head = standby_->call->head();
     const UpstreamResponse &response = standby_->call->response();
-    const bool takes = response.authentic && !response.rejected && !response.misdirected && !response.hasContentEncoding && status < 500;
+    const bool isAnswer = response.authentic && !response.rejected && !response.misdirected && !response.hasContentEncoding && head.status < 500;
+    // A stream that has started can only be continued by a stream.
+    const bool takes = isAnswer && (!options_.caller->hasStartedStream() || (isSuccess(head.status) && isEventStream(head)));
     if (handover_.onSuccessorHead(takes) == HandoverStep::Replace) {
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
         replaceAttempt("standby_answered", AttemptResult::Failed);
@@ -440,7 +460,7 @@
         if (ending == AttemptEnding::Refused) {
             handover_.noteNotSent();
         }
-        resume(reason);
+        resume(reason, false);
         return;
     }
     if (ending == AttemptEnding::NotReceived) {
@@ -469,39 +489,56 @@
     return excluded;
 }
 
-void Exchange::resume(std::string_view reason)
+bool Exchange::mayBeServed() const
+{
+    const UpstreamTable &upstreams = *options_.context->upstreams;
+    return handover_.canBeServed() && std::ranges::any_of(upstreams.byId(), [&](const auto &entry) {
+               const UpstreamRef &upstream = entry.second;
+               const bool listed = upstream->present && !upstream->replaced && !upstreams.isShuttingDown(*upstream);
+               return listed && upstream->record.service == service_->name && handover_.mayUse(upstream, true);
+           });
+}
+
+void Exchange::resume(std::string_view reason, bool mayAskAgain)
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
     const Micros now = monotonicNow();
-    if (!handover_.canBeServed() || isPoison(now)) {
+    if (!mayBeServed() || isPoison(now)) {
         giveUp(reason, RetryAfterRejected);
         return;
     }
     // The reserved retry is for an upstream that has worked on the request; others may refuse it.
     const bool available = options_.context->retries->isAvailable(service_->name, now);
-    if (deadline_ - now > 2 * ReturnMargin && (available || retryReserved_)) {
+    if (deadline_ - now > 2 * ReturnMargin && (available || hasReservedRetry(now))) {
+        // Upstreams that have just refused are asked again only after a pause.
         for (const bool again : { false, true }) {
+            if (again && !mayAskAgain) {
+                break;
+            }
             auto planned = planAttempt(upstreamsNotToUse(again, !available), now);
             if (std::holds_alternative<NoAttempt>(planned)) {
                 continue;
             }
             attempt_ = std::get<std::unique_ptr<Attempt>>(std::move(planned));
-            if (connect(*attempt_, now) == ConnectResult::Failed) {
+            if (connect(*attempt_, now, !again) == ConnectResult::Failed) {
                 endAttempt(*attempt_, AttemptResult::Unreachable);
                 handover_.noteEnded(attempt_->upstream, AttemptEnding::NotReceived);
                 break;
             }
             if (!options_.context->retries->take(service_->name, now)) {
-                retryReserved_ = false;
+                retryReservedAt_.reset();
             }
             logEvent(LogLevel::Info, "request_resumed",
                      { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "again", again }, { "sent", handover_.sent() } });
+            isWaiting_ = false;
             send(now);
             return;
         }
     }
-    logEvent(LogLevel::Info, "request_waiting", { { "id", request_.id }, { "reason", reason }, { "remaining_ms", (deadline_ - now) / MicrosPerMilli } });
-    inactivityTimer_.startOnce(ResumeRecheckInterval, [this, reason = std::string(reason)] { resume(reason); });
+    if (!std::exchange(isWaiting_, true)) {
+        logEvent(LogLevel::Info, "request_waiting", { { "id", request_.id }, { "reason", reason }, { "remaining_ms", (deadline_ - now) / MicrosPerMilli } });
+    }
+    inactivityTimer_.startOnce(ResumeRecheckInterval, [this, reason = std::string(reason)] { resume(reason, true); });
 }
 
 void Exchange::endAttempt(Attempt &ended, AttemptResult result)
--- a/packages/gateway/src/retry_budget.cpp
+++ b/packages/gateway/src/retry_budget.cpp
@@ -29,7 +29,7 @@
     ++bucketAt(service, now).requests;
 }
 
-bool RetryBudget::isAvailable(std::string_view service, Micros now)
+bool RetryBudget::isAvailable(std::string_view service, Micros now, std::uint32_t count)
 {
     const Bucket &current = bucketAt(service, now);
     double requests = 0.0;
@@ -41,7 +41,7 @@
         }
     }
     const double allowed = options_.margin * (options_.ratio * requests + options_.allowance / std::max<std::uint32_t>(1, options_.gatewayCount));
-    return retries + 1.0 <= allowed;
+    return retries + count <= allowed;
 }
 
 bool RetryBudget::take(std::string_view service, Micros now)
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -92,7 +92,7 @@
 
 ConnectResult UpstreamCall::connect(Micros now)
 {
-    channel_ = options_.pool->takeIdle(*options_.upstream, now);
+    channel_ = options_.mayReuseConnection ? options_.pool->takeIdle(*options_.upstream, now) : nullptr;
     usedIdle_ = channel_ != nullptr;
     const auto onData = [this] { this->onData(); };
     const auto onEnd = [this](ChannelEnd reason) { onChannelEnd(reason); };
@@ -202,6 +202,11 @@
                 skipping_ = true;
                 reusable_ = false;
                 ++staleResponses_;
+                logEvent(LogLevel::Info, "stale_response_skipped",
+                         { { "id", options_.requestId },
+                           { "upstream", options_.upstream->record.id },
+                           { "response_id", response_.requestId },
+                           { "status", reader_.head().status } });
             } else {
                 headReceived_ = true;
                 options_.onHead();
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -88,6 +88,7 @@
     UpstreamRef upstream{};
     std::string requestId{};
     bool headOnly = false;                ///< The response has no body.
+    bool mayReuseConnection = true;       ///< Use an idle connection if there is one.
     std::function<void()> onConnected{};  ///< A connection that connect() has started is established. Not called after send().
     std::function<void()> onHead{};       ///< Called once.
     std::function<void()> onBody{};       ///< More data is available from takeBody().
--- a/packages/gateway/tests/attempt_handover_test.cpp
+++ b/packages/gateway/tests/attempt_handover_test.cpp
@@ -105,7 +105,7 @@
             continue;
         }
         if (handover.isOverlapping()) {
-            if (handover.onOverlapTime(now, true) == HandoverStep::Replace) {
+            if (handover.onOverlapTime(now) == HandoverStep::Replace) {
                 replace(now);
             }
         } else if (now - sentAt >= SilenceLimit && handover.mayStartSuccessor()) {
@@ -114,7 +114,7 @@
             if (next != upstreams.end()) {
                 handover.startOverlap(*next, now);
                 successor = play(*next, now, false);
-                if (!overlap && handover.onOverlapTime(now + HandoverOverlap, true) == HandoverStep::Replace) {
+                if (!overlap && handover.onOverlapTime(now + HandoverOverlap) == HandoverStep::Replace) {
                     replace(now);
                 }
             }
