Count a reserved retry when it is sent

A retry that was reserved in an earlier window of the budget was not counted in the window in which it arrives. It now is, so that later retries wait for it.

--- a/packages/gateway/include/carobhall/retry_budget.h
+++ b/packages/gateway/include/carobhall/retry_budget.h
@@ -31,6 +31,8 @@
     void noteRequest(std::string_view service, Micros now);
     /// Takes one retry from the budget. Returns false when the budget is spent: the request must not be retried.
     [[nodiscard]] bool take(std::string_view service, Micros now);
+    /// Counts a retry that was taken earlier and is sent now, so that the window in which it arrives contains it.
+    void charge(std::string_view service, Micros now);
     /// Whether take() would succeed \p count times.
     [[nodiscard]] bool isAvailable(std::string_view service, Micros now, std::uint32_t count = 1);
     void setGatewayCount(std::uint32_t count);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -81,10 +81,8 @@
     /// The connection of the standby is established: sends the request there too, if the retry budget allows.
     void startOverlap();
     void onOverlapTime();
-    /// Takes a retry from the budget that hasReservedRetry() reports, unless there is one. Returns hasReservedRetry().
+    /// Takes a retry from the budget for the return to a silent upstream, unless one is reserved. Returns whether one is.
     bool reserveRetry(Micros now);
-    /// Whether a retry is reserved for the return to an upstream after its successor has refused.
-    [[nodiscard]] bool hasReservedRetry(Micros now) const;
     void onStandbyHead();
     void onStandbyEnd(CallEnd end);
     /// Resets the current attempt; the standby takes its place.
@@ -165,8 +163,8 @@
     Timer deadlineTimer_;
     Timer inactivityTimer_; ///< Also the wait of resume().
     Timer overlapTimer_;
-    std::optional<Micros> retryReservedAt_; ///< See hasReservedRetry().
-    bool isWaiting_ = false;                ///< resume() waits until an upstream can take the request.
+    bool retryReserved_ = false; ///< See reserveRetry().
+    bool isWaiting_ = false;     ///< resume() waits until an upstream can take the request.
     EventSplitter events_;
     bool attemptForwards_ = false; ///< The current attempt has contributed events to the response.
     std::string lastEventId_;
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -22,8 +22,6 @@
 constexpr double InactivityPerTargetGap = 2.0;
 constexpr Micros InactivityRecheckInterval = 300 * MicrosPerMilli; ///< Interval of further checks while no retry is possible.
 constexpr Micros ResumeRecheckInterval = 150 * MicrosPerMilli;     ///< The same for a request whose attempt was given up.
-/// How long a reserved retry may be used. It counts in the window of the budget in which it was taken.
-constexpr Micros RetryReservationTime = 2 * MicrosPerSecond;
 
 /// Share of the latency target of more urgent requests for which less urgent ones may occupy a model server's queue.
 constexpr double UrgentTargetShare = 0.8;
@@ -243,7 +241,7 @@
 
 void Exchange::prepareStandby(Micros now)
 {
-    if (!options_.context->retries->isAvailable(service_->name, now, hasReservedRetry(now) ? 1 : 2)) {
+    if (!options_.context->retries->isAvailable(service_->name, now, retryReserved_ ? 1 : 2)) {
         return;
     }
     std::vector<UpstreamRef> excluded(handover_.tried().begin(), handover_.tried().end());
@@ -281,7 +279,7 @@
     }
     const Micros now = monotonicNow();
     // Without a second retry, for going back if the successor refuses later, the silent attempt keeps the request.
-    const bool affordable = options_.context->retries->isAvailable(service_->name, now, hasReservedRetry(now) ? 1 : 2);
+    const bool affordable = options_.context->retries->isAvailable(service_->name, now, retryReserved_ ? 1 : 2);
     if (deadline_ - now <= 2 * ReturnMargin || !affordable || !reserveRetry(now) || !options_.context->retries->take(service_->name, now)) {
         dropStandby(AttemptResult::Abandoned);
         return;
@@ -300,15 +298,8 @@
 
 bool Exchange::reserveRetry(Micros now)
 {
-    if (!hasReservedRetry(now) && options_.context->retries->take(service_->name, now)) {
-        retryReservedAt_ = now;
-    }
-    return hasReservedRetry(now);
-}
-
-bool Exchange::hasReservedRetry(Micros now) const
-{
-    return retryReservedAt_ && now - *retryReservedAt_ <= RetryReservationTime;
+    retryReserved_ = retryReserved_ || options_.context->retries->take(service_->name, now);
+    return retryReserved_;
 }
 
 void Exchange::onOverlapTime()
@@ -509,7 +500,7 @@
     }
     // The reserved retry is for an upstream that has worked on the request; others may refuse it.
     const bool available = options_.context->retries->isAvailable(service_->name, now);
-    if (deadline_ - now > 2 * ReturnMargin && (available || hasReservedRetry(now))) {
+    if (deadline_ - now > 2 * ReturnMargin && (available || retryReserved_)) {
         // Upstreams that have just refused are asked again only after a pause.
         for (const bool again : { false, true }) {
             if (again && !mayAskAgain) {
@@ -526,7 +517,8 @@
                 break;
             }
             if (!options_.context->retries->take(service_->name, now)) {
-                retryReservedAt_.reset();
+                retryReserved_ = false;
+                options_.context->retries->charge(service_->name, now);
             }
             logEvent(LogLevel::Info, "request_resumed",
                      { { "id", request_.id }, { "upstream", attempt_->upstream->record.id }, { "again", again }, { "sent", handover_.sent() } });
--- a/packages/gateway/src/retry_budget.cpp
+++ b/packages/gateway/src/retry_budget.cpp
@@ -44,6 +44,11 @@
     return retries + count <= allowed;
 }
 
+void RetryBudget::charge(std::string_view service, Micros now)
+{
+    ++bucketAt(service, now).retries;
+}
+
 bool RetryBudget::take(std::string_view service, Micros now)
 {
     if (!isAvailable(service, now)) {
