Move the handling of the platform's list of upstreams into its own file

The grace period of removed entries, which both files use, becomes a constant of the class. No change in behaviour.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -229,6 +229,9 @@
     [[nodiscard]] const QueueWaitLimit &queueWaitLimit() const;
 
 private:
+    /// An entry that expired while the platform's list was unavailable returns within two seconds if the upstream is alive.
+    static constexpr Micros RemovalGracePeriod = 2 * MicrosPerSecond;
+
     /// The upstream with the lowest cost, whatever limits it has named.
     [[nodiscard]] UpstreamRef cheapestPlainUpstream(const Service &service, std::span<const UpstreamRef> tried, Micros now);
     [[nodiscard]] std::variant<EngineChoice, RefusalReason> cheapestEngine(const PromptDemand &demand, const Service &service,
--- /dev/null
+++ b/packages/gateway/src/upstream_list.cpp
@@ -0,0 +1,91 @@
+#include "carobhall/upstream_table.h"
+
+#include "carobhall/poison_request_detector.h"
+
+#include <algorithm>
+
+// The entries of the platform's list.
+
+namespace Carobhall
+{
+
+namespace
+{
+
+std::string_view ipOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+} // namespace
+
+void UpstreamTable::update(UpstreamRecord record)
+{
+    UpstreamRef &entry = byId_[record.id];
+    const bool restarted = entry && entry->record.startedAtMs != record.startedAtMs;
+    if (!entry || restarted || entry->record.address != record.address) {
+        // This is another process: the state of the previous one does not apply.
+        if (entry) {
+            cacheIndex_.removeHolder(entry->number);
+            removeFromIpIndex(entry);
+        }
+        entry = std::make_shared<Upstream>();
+        entry->number = static_cast<UpstreamNumber>(byNumber_.size());
+        entry->process = upstreamIncarnation(record.id, record.startedAtMs);
+        byNumber_.push_back(entry);
+        byIp_[std::string(ipOf(record.address))].push_back(entry);
+    }
+    entry->record = std::move(record);
+    entry->present = true;
+    entry->removedAt = 0;
+    ++revision_;
+    for (const UpstreamRef &other : byIp_.find(ipOf(entry->record.address))->second) {
+        if (other == entry || other->record.address != entry->record.address) {
+            continue;
+        }
+        if (other->record.startedAtMs < entry->record.startedAtMs) {
+            other->replaced = true;
+        } else if (other->present && other->record.startedAtMs > entry->record.startedAtMs) {
+            entry->replaced = true;
+        }
+    }
+}
+
+void UpstreamTable::noteReplaced(Upstream &upstream)
+{
+    upstream.replaced = true;
+}
+
+void UpstreamTable::remove(std::string_view id, Micros now)
+{
+    if (const auto found = byId_.find(id); found != byId_.end() && found->second->present) {
+        found->second->present = false;
+        found->second->removedAt = now;
+        ++revision_;
+    }
+    for (auto it = byId_.begin(); it != byId_.end();) {
+        const Upstream &upstream = *it->second;
+        if (!upstream.present && upstream.inFlight == 0 && now - upstream.removedAt > 10 * RemovalGracePeriod) {
+            cacheIndex_.removeHolder(upstream.number);
+            byNumber_[upstream.number] = nullptr;
+            removeFromIpIndex(it->second);
+            it = byId_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void UpstreamTable::removeFromIpIndex(const UpstreamRef &upstream)
+{
+    const auto found = byIp_.find(ipOf(upstream->record.address));
+    if (found == byIp_.end()) {
+        return;
+    }
+    std::erase(found->second, upstream);
+    if (found->second.empty()) {
+        byIp_.erase(found);
+    }
+}
+
+} // namespace Carobhall
