Send no requests to servers that left because an older copy lists them

Cause: the gateway believed each entry of the list as if the server had just written it. Draining was a field of the entry, not knowledge of the process, and nothing was kept of an entry that was removed.

A process (id and start) whose entry says that it drains is noted as leaving in UpstreamAvailability, where answers that announce a shutdown are noted too. A process whose entry was removed and that comes back with the copy (isWrittenInEra is false) is not chosen until its sequence is higher than that of the copied entry. An entry that was written in the era counts at once, so that servers whose entries expire while the store is away, without a restore, come back as before. Entries without a start time are not remembered, because the next process of the id would be taken for the same.

--- a/packages/gateway/include/carobhall/upstream_availability.h
+++ b/packages/gateway/include/carobhall/upstream_availability.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Which upstream processes take requests, by what they have said in their answers.
+// Which upstream processes take requests, by what they have said in their answers and in the platform's list.
 //
 //     UpstreamAvailability availability(seed);
 //     availability.noteLeaving(process, now);                 // an answer announced the shutdown of the process
@@ -35,10 +35,18 @@
 
     /// \p process shuts down and takes no new requests, for ever. Returns false if that was known.
     bool noteLeaving(Incarnation process, Micros now);
+    /// The list lacks the entry of \p process. The process may still be running, so that this alone does not make it unavailable.
+    void noteUnlisted(Incarnation process, Micros now);
+    /// The list contains \p process, with \p sequence, which rises with each report of the process. \p mayBeCopied: the entry may come from
+    /// the copy that the platform was restored from. If that is all that speaks for a process that the list lacked before, it is unavailable
+    /// until the sequence rises.
+    void noteListed(Incarnation process, std::uint64_t sequence, bool mayBeCopied);
     /// \p process takes no requests for \p duration; at most MaxPause counts, and nothing if it is not positive. The end never moves
     /// forward. Returns true if \p process was not paused before.
     bool notePause(Incarnation process, Micros duration, Micros now);
     [[nodiscard]] bool isLeaving(Incarnation process) const;
+    /// Whether \p process was removed from the list and nothing but a copy of its entry speaks for it.
+    [[nodiscard]] bool isUnconfirmed(Incarnation process) const;
     /// Whether requests may be sent to \p process.
     [[nodiscard]] bool isAvailable(Incarnation process, Micros now) const;
     /// Time until requests may be sent to \p process again; 0: now; empty: never.
@@ -47,14 +55,16 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
-    /// How long a process that leaves is remembered. It has exited long before; this only bounds the memory used.
+    /// How long a process that leaves, or that the list lacks, is remembered. It has exited long before; this only bounds the memory used.
     static constexpr Micros LeavingRetention = Micros{ 24 } * 3600 * MicrosPerSecond;
     static constexpr Micros ExpiryInterval = 60 * MicrosPerSecond;
 
     struct State {
         std::optional<Micros> leavingSince{};
-        Micros pausedUntil = 0;   ///< Includes this gateway's part of the spread.
-        double returnPoint = 0.0; ///< Where in the spread this gateway returns, 0 to 1; drawn once a pause.
+        std::optional<Micros> unlistedSince{};
+        std::optional<std::uint64_t> copiedSequence{}; ///< Of the entry that came back with a copy; set while the process is unconfirmed.
+        Micros pausedUntil = 0;                        ///< Includes this gateway's part of the spread.
+        double returnPoint = 0.0;                      ///< Where in the spread this gateway returns, 0 to 1; drawn once a pause.
     };
 
     void expire(Micros now);
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -161,8 +161,10 @@
     /// \p gateway is the name of this process.
     UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline = DefaultWeightsDeadline, std::string gateway = {});
 
-    /// Adds or replaces a record of the platform's list.
-    void update(UpstreamRecord record);
+    /// Adds or replaces a record of the platform's list. A process that was draining once stays so, whatever later records say.
+    void update(UpstreamRecord record, Micros now = 0);
+    /// The platform's list contains an entry that has not changed, except for its sequence.
+    void noteUnchanged(const UpstreamRecord &record);
     /// A rollout of weights \p version has begun. Engines that keep older weights for too long are no longer chosen.
     void noteWeightsTarget(std::uint64_t version, Micros now);
     /// Another process answered at the address of \p upstream.
@@ -198,7 +200,7 @@
 
     /// Which processes take requests. Those that do not are never chosen.
     [[nodiscard]] UpstreamAvailability &availability();
-    /// Whether the platform's list or the process itself has announced its shutdown.
+    /// Whether the platform's list or the process itself has announced its shutdown, or the list has lacked its entry and shows a copy of it.
     [[nodiscard]] bool isShuttingDown(const Upstream &upstream) const;
     /// Whether requests may be sent to \p upstream if the platform lists it.
     [[nodiscard]] bool isUsable(const Upstream &upstream, Micros now) const;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -176,6 +176,12 @@
                                                                               logEvent(LogLevel::Info, "upstream_gone", { { "upstream", name } });
                                                                               noteIfCrashed(name, 0, now);
                                                                               upstreams.remove(name, now);
+                                                                          },
+                                                                      .onUnchanged =
+                                                                          [this](const PlatformObject &object, Micros) {
+                                                                              if (const auto record = options.objectCodec.decodeUpstream(object)) {
+                                                                                  upstreams.noteUnchanged(*record);
+                                                                              }
                                                                           } });
     links = std::make_unique<SidecarLinks>(SidecarLinksOptions{
         .keys = installationKeys(options.settings.platformAddress),
@@ -487,7 +493,8 @@
                { "weights", record->weightsVersion },
                { "revision", object.version } });
     noteIfCrashed(record->id, record->startedAtMs, now);
-    upstreams.update(std::move(*record));
+    record->mayBeCopied = !object.isWrittenInEra;
+    upstreams.update(std::move(*record), now);
 }
 
 void Gateway::Impl::noteIfCrashed(const std::string &id, std::int64_t startedAtMs, Micros now)
--- a/packages/gateway/src/upstream_availability.cpp
+++ b/packages/gateway/src/upstream_availability.cpp
@@ -19,6 +19,28 @@
     return isNew;
 }
 
+void UpstreamAvailability::noteUnlisted(Incarnation process, Micros now)
+{
+    expire(now);
+    states_[process].unlistedSince = now;
+}
+
+void UpstreamAvailability::noteListed(Incarnation process, std::uint64_t sequence, bool mayBeCopied)
+{
+    const auto found = states_.find(process);
+    if (found == states_.end() || !found->second.unlistedSince) {
+        return;
+    }
+    State &state = found->second;
+    // The copy of another restore may be newer than that of the last one: its sequence proves nothing.
+    if (mayBeCopied) {
+        state.copiedSequence = sequence;
+    } else if (!state.copiedSequence || sequence > *state.copiedSequence) {
+        state.unlistedSince.reset();
+        state.copiedSequence.reset();
+    }
+}
+
 bool UpstreamAvailability::notePause(Incarnation process, Micros duration, Micros now)
 {
     if (duration <= 0) {
@@ -43,6 +65,12 @@
     return found != states_.end() && found->second.leavingSince;
 }
 
+bool UpstreamAvailability::isUnconfirmed(Incarnation process) const
+{
+    const auto found = states_.find(process);
+    return found != states_.end() && found->second.copiedSequence;
+}
+
 bool UpstreamAvailability::isAvailable(Incarnation process, Micros now) const
 {
     return timeToAvailable(process, now) == Micros{ 0 };
@@ -54,7 +82,7 @@
     if (found == states_.end()) {
         return 0;
     }
-    if (found->second.leavingSince) {
+    if (found->second.leavingSince || found->second.copiedSequence) {
         return std::nullopt;
     }
     return std::max<Micros>(0, found->second.pausedUntil - now);
@@ -73,7 +101,8 @@
     nextExpiryAt_ = now + ExpiryInterval;
     std::erase_if(states_, [now](const auto &entry) {
         const State &state = entry.second;
-        return state.leavingSince ? now - *state.leavingSince > LeavingRetention : state.pausedUntil <= now;
+        const std::optional<Micros> goneSince = std::max(state.leavingSince, state.unlistedSince);
+        return goneSince ? now - *goneSince > LeavingRetention : state.pausedUntil <= now;
     });
 }
 
--- a/packages/gateway/src/upstream_list.cpp
+++ b/packages/gateway/src/upstream_list.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void UpstreamTable::update(UpstreamRecord record)
+void UpstreamTable::update(UpstreamRecord record, Micros now)
 {
     UpstreamRef &entry = byId_[record.id];
     const bool restarted = entry && entry->record.startedAtMs != record.startedAtMs;
@@ -36,6 +36,13 @@
         byIp_[std::string(ipOf(record.address))].push_back(entry);
     }
     entry->record = std::move(record);
+    // Without a start time the next process of the id cannot be told from this one.
+    if (entry->record.startedAtMs != 0) {
+        if (entry->record.draining) {
+            availability_.noteLeaving(entry->process, now);
+        }
+        availability_.noteListed(entry->process, entry->record.sequence, entry->record.mayBeCopied);
+    }
     entry->present = true;
     entry->removedAt = 0;
     ++revision_;
@@ -51,6 +58,13 @@
     }
 }
 
+void UpstreamTable::noteUnchanged(const UpstreamRecord &record)
+{
+    if (const auto found = byId_.find(record.id); found != byId_.end() && found->second->record.startedAtMs == record.startedAtMs) {
+        availability_.noteListed(found->second->process, record.sequence, false);
+    }
+}
+
 void UpstreamTable::noteReplaced(Upstream &upstream)
 {
     upstream.replaced = true;
@@ -61,6 +75,9 @@
     if (const auto found = byId_.find(id); found != byId_.end() && found->second->present) {
         found->second->present = false;
         found->second->removedAt = now;
+        if (found->second->record.startedAtMs != 0) {
+            availability_.noteUnlisted(found->second->process, now);
+        }
         ++revision_;
     }
     for (auto it = byId_.begin(); it != byId_.end();) {
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -293,7 +293,7 @@
 
 bool UpstreamTable::isShuttingDown(const Upstream &upstream) const
 {
-    return upstream.record.draining || availability_.isLeaving(upstream.process);
+    return upstream.record.draining || availability_.isLeaving(upstream.process) || availability_.isUnconfirmed(upstream.process);
 }
 
 bool UpstreamTable::isUsable(const Upstream &upstream, Micros now) const
--- /dev/null
+++ b/packages/gateway/tests/restored_list_test.cpp
@@ -0,0 +1,93 @@
+#include <boost/test/unit_test.hpp>
+
+#include "carobhall/upstream_table.h"
+
+#include <random>
+
+// The platform's list of upstreams comes back from an older copy.
+
+using namespace Carobhall;
+
+namespace
+{
+
+constexpr Micros Second = MicrosPerSecond;
+constexpr std::int64_t Born = 1'800'000'000'000;
+
+UpstreamRecord ready(std::uint64_t sequence, bool mayBeCopied = false, std::int64_t born = Born)
+{
+    return {
+        .id = "i-1", .service = "desk", .address = "10.9.0.1:80", .zone = "a", .slots = 6, .startedAtMs = born, .sequence = sequence, .mayBeCopied = mayBeCopied
+    };
+}
+
+UpstreamRecord withDraining(UpstreamRecord record)
+{
+    record.draining = true;
+    return record;
+}
+
+struct List {
+    UpstreamTable table{ { .zone = "a", .regionOfZone = { { "a", "east" } } }, 1 };
+    Service desk{};
+
+    List()
+    {
+        desk.name = "desk";
+    }
+    bool isChosen(Micros now)
+    {
+        return table.choosePlainUpstream(desk, {}, now) != nullptr;
+    }
+};
+
+} // namespace
+
+// Guards against requests to a server that exits: the copy shows it as it was before it said that it drains.
+BOOST_AUTO_TEST_CASE(aDrainingProcessStaysSoWhenACopyListsItAsReady)
+{
+    List list;
+    list.table.update(ready(5), Second);
+    BOOST_TEST(list.isChosen(Second));
+    list.table.update(withDraining(ready(6)), 2 * Second);
+    list.table.update(ready(4, true), 3 * Second);
+    BOOST_TEST(!list.isChosen(3 * Second));
+    list.table.remove("i-1", 4 * Second);
+    list.table.update(ready(4, true), 30 * Second);
+    list.table.noteUnchanged(ready(9));
+    BOOST_TEST(!list.isChosen(30 * Second));
+    BOOST_TEST(list.table.readyCount("desk") == 0U);
+    // The next process of the id is not affected.
+    list.table.update(ready(1, false, Born + 1), 31 * Second);
+    BOOST_TEST(list.isChosen(31 * Second));
+}
+
+// Guards against requests to a server that left without saying that it drains, and against the loss of one that only the copy's age hides.
+BOOST_AUTO_TEST_CASE(aRemovedProcessThatComesBackWithACopyCountsOnceItReports)
+{
+    List list;
+    list.table.update(ready(5), Second);
+    list.table.remove("i-1", 2 * Second);
+    list.table.update(ready(3, true), 3 * Second);
+    BOOST_TEST(!list.isChosen(3 * Second));
+    list.table.noteUnchanged(ready(3));
+    BOOST_TEST(!list.isChosen(4 * Second));
+    // Another restore, from a copy that is newer than the first.
+    list.table.update(ready(4, true), 5 * Second);
+    BOOST_TEST(!list.isChosen(5 * Second));
+    list.table.noteUnchanged(ready(5));
+    BOOST_TEST(list.isChosen(6 * Second));
+}
+
+// Guards against the loss of servers whose entries expire while the store is away: they come back without a restore.
+BOOST_AUTO_TEST_CASE(aRemovedProcessThatIsWrittenAgainCountsAtOnce)
+{
+    List list;
+    list.table.update(ready(5, true), Second);
+    list.table.remove("i-1", 2 * Second);
+    list.table.update(ready(7), 10 * Second);
+    BOOST_TEST(list.isChosen(10 * Second));
+    // Known to live: a copy changes nothing.
+    list.table.update(ready(6, true), 11 * Second);
+    BOOST_TEST(list.isChosen(11 * Second));
+}
--- a/packages/state/src/watcher.cpp
+++ b/packages/state/src/watcher.cpp
@@ -26,7 +26,8 @@
     void onListed(const PlatformReply &reply, Micros now);
     void openWatch(Micros now);
     void onEvent(std::uint64_t generation, const WatchEvent &event, Micros now);
-    void deliverIfNewer(PlatformObject object, Micros now);
+    /// Returns whether \p object was delivered.
+    bool deliverIfNewer(PlatformObject object, Micros now);
     void retry(Micros now);
     Micros jittered(Micros interval);
 
@@ -112,7 +113,10 @@
     std::set<std::string> present;
     for (const PlatformObject &object : reply.items) {
         present.insert(object.name);
-        deliverIfNewer(object, now);
+        const bool isNew = deliverIfNewer(object, now);
+        if (!isNew && options.onUnchanged && matches(object)) {
+            options.onUnchanged(object, now);
+        }
         if (isSettled && options.onSettled && object.version <= firstVersion && matches(object)) {
             options.onSettled(object, now);
         }
@@ -161,18 +165,19 @@
     });
 }
 
-void ObjectWatcher::Impl::deliverIfNewer(PlatformObject object, Micros now)
+bool ObjectWatcher::Impl::deliverIfNewer(PlatformObject object, Micros now)
 {
     if (!matches(object)) {
-        return;
+        return false;
     }
     std::uint64_t &known = versions[object.name];
     if (object.version <= known) {
-        return;
+        return false;
     }
     known = object.version;
     object.isWrittenInEra = object.version > firstVersion;
     options.onObject(object, now);
+    return true;
 }
 
 void ObjectWatcher::Impl::onEvent(std::uint64_t eventGeneration, const WatchEvent &event, Micros now)
