Keep the newer process when an older copy lists an earlier one

After a restore of the platform's store from an older copy, callers' requests went to the former process of a server that had started again, and the gateway lost the new one.

Cause: UpstreamTable::update() took any other start time under an id for a new process, and thus replaced the newer process by the one of the copy. The former server at an address was told from the newer one there only while the list contained the newer one.

An entry that may be copied (it was not written in the era) is ignored if the process known under its id started later; the newer one writes its entry again if it lives. The former server at an address counts as replaced also if the list lacks the newer one. Entries that are written in the era are believed as before, whatever their start: the clock of a host may have been set back.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -54,6 +54,8 @@
     Micros removedAt = 0;  ///< When it was removed from the list; 0: present.
     bool replaced = false; ///< Another process has its address: this one has ended, even if the list still contains it.
 
+    bool earlierListed = false; ///< The list shows an earlier process under the id, in a copy that lacks this one.
+
     EngineLoad load{};
     Micros loadAt = 0; ///< When `load` was reported; 0: never.
 
@@ -162,6 +164,7 @@
     UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline = DefaultWeightsDeadline, std::string gateway = {});
 
     /// Adds or replaces a record of the platform's list. A process that was draining once stays so, whatever later records say.
+    /// An entry that may be copied does not replace a process that started later, neither that of its id nor the one at its address.
     void update(UpstreamRecord record, Micros now = 0);
     /// The platform's list contains an entry that has not changed, except for its sequence.
     void noteUnchanged(const UpstreamRecord &record);
--- a/packages/gateway/src/upstream_list.cpp
+++ b/packages/gateway/src/upstream_list.cpp
@@ -22,6 +22,11 @@
 void UpstreamTable::update(UpstreamRecord record, Micros now)
 {
     UpstreamRef &entry = byId_[record.id];
+    if (entry && record.mayBeCopied && record.startedAtMs < entry->record.startedAtMs) {
+        // The copy shows an earlier process of the id. The one that is known writes its entry again if it lives.
+        entry->earlierListed = true;
+        return;
+    }
     const bool restarted = entry && entry->record.startedAtMs != record.startedAtMs;
     if (!entry || restarted || entry->record.address != record.address) {
         // This is another process: the state of the previous one does not apply.
@@ -44,6 +49,7 @@
         availability_.noteListed(entry->process, entry->record.sequence, entry->record.mayBeCopied);
     }
     entry->present = true;
+    entry->earlierListed = false;
     entry->removedAt = 0;
     ++revision_;
     for (const UpstreamRef &other : byIp_.find(ipOf(entry->record.address))->second) {
@@ -52,7 +58,7 @@
         }
         if (other->record.startedAtMs < entry->record.startedAtMs) {
             other->replaced = true;
-        } else if (other->present && other->record.startedAtMs > entry->record.startedAtMs) {
+        } else if ((other->present || entry->record.mayBeCopied) && other->record.startedAtMs > entry->record.startedAtMs) {
             entry->replaced = true;
         }
     }
--- a/packages/gateway/tests/restored_list_test.cpp
+++ b/packages/gateway/tests/restored_list_test.cpp
@@ -91,3 +91,46 @@
     list.table.update(ready(6, true), 11 * Second);
     BOOST_TEST(list.isChosen(11 * Second));
 }
+
+// Guards against the loss of a process that has just started, and of what is known of it, because the copy shows the former one of its id.
+BOOST_AUTO_TEST_CASE(anEarlierProcessOfTheCopyDoesNotReplaceTheNewerOne)
+{
+    List list;
+    list.table.update(ready(5), Second);
+    list.table.update(ready(1, false, Born + 9), 2 * Second);
+    const UpstreamRef newer = list.table.byId().at("i-1");
+    UpstreamRecord copied = ready(4, true);
+    list.table.update(copied, 3 * Second);
+    BOOST_TEST(list.table.byId().at("i-1") == newer);
+    BOOST_TEST(newer->earlierListed);
+    BOOST_TEST(list.table.choosePlainUpstream(list.desk, {}, 3 * Second) == newer);
+    copied.address = "10.9.0.1:81";
+    list.table.update(copied, 4 * Second);
+    BOOST_TEST(list.table.choosePlainUpstream(list.desk, {}, 4 * Second) == newer);
+    list.table.update(ready(3, false, Born + 9), 5 * Second);
+    BOOST_TEST(list.table.byId().at("i-1") == newer);
+    BOOST_TEST(!newer->earlierListed);
+    // The clock of a host may have been set back: what a process writes in the era counts.
+    list.table.update(ready(1, false, Born + 2), 6 * Second);
+    BOOST_TEST(list.table.byId().at("i-1")->record.startedAtMs == Born + 2);
+}
+
+// Guards against requests to the former server at an address, which the copy lists although another process has the address now, listed or not.
+BOOST_AUTO_TEST_CASE(theFormerServerAtAnAddressDoesNotComeBackWithTheCopy)
+{
+    for (const bool isNewerPresent : { true, false }) {
+        BOOST_TEST_CONTEXT("newer process present " << isNewerPresent)
+        {
+            List list;
+            UpstreamRecord newer = ready(1, false, Born + 9);
+            newer.id = "i-2";
+            list.table.update(newer, Second);
+            if (!isNewerPresent) {
+                list.table.remove("i-2", 2 * Second);
+            }
+            list.table.update(ready(4, true), 3 * Second);
+            BOOST_TEST(list.table.byId().at("i-1")->replaced);
+            BOOST_TEST(list.table.readyCount("desk") == (isNewerPresent ? 1U : 0U));
+        }
+    }
+}
