Take no server for crashed because an older copy lacks it

After a restore of the platform's store from an older copy, the gateway counted a crash of each server that the copy lacks, or of which it shows an earlier process. The requests that such a server was running become suspects of crashing servers, and are refused.

Cause: noteIfCrashed() took any other start time and any removal for the end of the process.

ObjectWatcher tells objects that a copy lacked and that nobody wrote again within the grace (onLost) from those that were deleted (onDeleted). A lost server is removed from the list, which is right after the grace, but its absence is no evidence. Of two start times only the later one shows that the known process ended, and the removal of an entry that showed an earlier process shows nothing (UpstreamTable::crashedProcess()).

Evidence: with the former rule, restored_list_test/whatACopyShowsIsNoCrash fails in 3 checks; without the distinction of lost objects, restore_test/objectsThatTheCopyLacksAreToldFromDeletedOnes fails in 4. With the change both pass, with the unchanged tests of restore_test and gateway_decisions_test. Not tested with the real gateway: the evidence that it would have shared.

--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -203,6 +203,9 @@
 
     /// Which processes take requests. Those that do not are never chosen.
     [[nodiscard]] UpstreamAvailability &availability();
+    /// The known process of upstream \p id, if it crashed: it was not shutting down, and the list shows a process that started later, at
+    /// \p startedAtMs, or its entry was removed (empty). An earlier process, and the removal of its entry, come from a copy.
+    [[nodiscard]] UpstreamRef crashedProcess(std::string_view id, std::optional<std::int64_t> startedAtMs) const;
     /// Whether the platform's list or the process itself has announced its shutdown, or the list has lacked its entry and shows a copy of it.
     [[nodiscard]] bool isShuttingDown(const Upstream &upstream) const;
     /// Whether requests may be sent to \p upstream if the platform lists it.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -65,9 +65,9 @@
     void onPeerConfig(const ConfigData &data);
     void subscribeToCacheStore();
     void onUpstream(const PlatformObject &object, Micros now);
-    /// Reports a crash of the known process of upstream \p id if it was not draining and the list now contains a process with another
-    /// start time \p startedAtMs (0: the entry was removed).
-    void noteIfCrashed(const std::string &id, std::int64_t startedAtMs, Micros now);
+    /// The list shows a process of upstream \p id that started at \p startedAtMs, or nothing more of \p id. Reports a crash of the known one if
+    /// that follows.
+    void noteIfCrashed(const std::string &id, std::optional<std::int64_t> startedAtMs, Micros now);
     void noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now);
     /// Sends what this gateway has learned of requests that crash upstreams to the others.
     void shareCrashEvidence(Micros now);
@@ -167,22 +167,28 @@
                         .onObject = [this](const PlatformObject &object, Micros) { onConfigObject(object, false); },
                         .onSettled = [this](const PlatformObject &object, Micros) { onConfigObject(object, true); } });
     options.platform->onRestored([this](Micros) { links->announceVersions(); });
-    upstreamWatcher = std::make_unique<ObjectWatcher>(*options.platform,
-                                                      WatcherOptions{ .kind = options.objectCodec.upstreamKind,
-                                                                      .name = {},
-                                                                      .onObject = [this](const PlatformObject &object, Micros now) { onUpstream(object, now); },
-                                                                      .onDeleted =
-                                                                          [this](const std::string &name, Micros now) {
-                                                                              logEvent(LogLevel::Info, "upstream_gone", { { "upstream", name } });
-                                                                              noteIfCrashed(name, 0, now);
-                                                                              upstreams.remove(name, now);
-                                                                          },
-                                                                      .onUnchanged =
-                                                                          [this](const PlatformObject &object, Micros) {
-                                                                              if (const auto record = options.objectCodec.decodeUpstream(object)) {
-                                                                                  upstreams.noteUnchanged(*record);
-                                                                              }
-                                                                          } });
+    upstreamWatcher = std::make_unique<ObjectWatcher>(
+        *options.platform,
+        WatcherOptions{ .kind = options.objectCodec.upstreamKind,
+                        .name = {},
+                        .onObject = [this](const PlatformObject &object, Micros now) { onUpstream(object, now); },
+                        .onDeleted =
+                            [this](const std::string &name, Micros now) {
+                                logEvent(LogLevel::Info, "upstream_gone", { { "upstream", name } });
+                                noteIfCrashed(name, std::nullopt, now);
+                                upstreams.remove(name, now);
+                            },
+                        .onLost =
+                            [this](const std::string &name, Micros now) {
+                                logEvent(LogLevel::Info, "upstream_gone", { { "upstream", name }, { "lost", true } });
+                                upstreams.remove(name, now);
+                            },
+                        .onUnchanged =
+                            [this](const PlatformObject &object, Micros) {
+                                if (const auto record = options.objectCodec.decodeUpstream(object)) {
+                                    upstreams.noteUnchanged(*record);
+                                }
+                            } });
     links = std::make_unique<SidecarLinks>(SidecarLinksOptions{
         .keys = installationKeys(options.settings.platformAddress),
         .self = { .name = options.settings.name,
@@ -497,15 +503,10 @@
     upstreams.update(std::move(*record), now);
 }
 
-void Gateway::Impl::noteIfCrashed(const std::string &id, std::int64_t startedAtMs, Micros now)
+void Gateway::Impl::noteIfCrashed(const std::string &id, std::optional<std::int64_t> startedAtMs, Micros now)
 {
-    const auto found = upstreams.byId().find(id);
-    if (found == upstreams.byId().end()) {
-        return;
-    }
-    const UpstreamRecord &known = found->second->record;
-    if (!upstreams.isShuttingDown(*found->second) && known.startedAtMs != startedAtMs) {
-        noteCrashed(known, "list", now);
+    if (const UpstreamRef crashed = upstreams.crashedProcess(id, startedAtMs)) {
+        noteCrashed(crashed->record, "list", now);
     }
 }
 
--- a/packages/gateway/src/upstream_list.cpp
+++ b/packages/gateway/src/upstream_list.cpp
@@ -71,6 +71,17 @@
     }
 }
 
+UpstreamRef UpstreamTable::crashedProcess(std::string_view id, std::optional<std::int64_t> startedAtMs) const
+{
+    const auto found = byId_.find(id);
+    if (found == byId_.end() || isShuttingDown(*found->second)) {
+        return {};
+    }
+    const Upstream &known = *found->second;
+    const bool isGone = startedAtMs ? *startedAtMs > known.record.startedAtMs : known.record.startedAtMs != 0 && !known.earlierListed;
+    return isGone ? found->second : nullptr;
+}
+
 void UpstreamTable::noteReplaced(Upstream &upstream)
 {
     upstream.replaced = true;
--- a/packages/gateway/tests/restored_list_test.cpp
+++ b/packages/gateway/tests/restored_list_test.cpp
@@ -134,3 +134,24 @@
         }
     }
 }
+
+// Guards against requests that are refused because servers seem to have crashed with them, which only a copy lacks or shows as they were before.
+BOOST_AUTO_TEST_CASE(whatACopyShowsIsNoCrash)
+{
+    List list;
+    list.table.update(ready(5, false, Born + 9), Second);
+    const UpstreamRef known = list.table.byId().at("i-1");
+    BOOST_TEST(!list.table.crashedProcess("i-1", Born));
+    BOOST_TEST(!list.table.crashedProcess("i-1", Born + 9));
+    BOOST_TEST(list.table.crashedProcess("i-1", Born + 10) == known);
+    BOOST_TEST(list.table.crashedProcess("i-1", std::nullopt) == known);
+    // The entry that is removed is that of the earlier process.
+    list.table.update(ready(4, true), 2 * Second);
+    BOOST_TEST(!list.table.crashedProcess("i-1", std::nullopt));
+    list.table.update(ready(6, false, Born + 9), 3 * Second);
+    BOOST_TEST(list.table.crashedProcess("i-1", std::nullopt) == known);
+    // Removed already; the copy's entry expires.
+    list.table.remove("i-1", 4 * Second);
+    list.table.update(ready(5, true, Born + 9), 5 * Second);
+    BOOST_TEST(!list.table.crashedProcess("i-1", std::nullopt));
+}
--- a/packages/state/include/carobhall/platform.h
+++ b/packages/state/include/carobhall/platform.h
@@ -328,6 +328,9 @@
     /// Called once for each newer version, in order, and again for all objects of the first list of an era.
     std::function<void(const PlatformObject &, Micros now)> onObject;
     std::function<void(const std::string &name, Micros now)> onDeleted{}; ///< May be empty.
+    /// Called instead of onDeleted for objects that a copy lacked and that nobody has written again within restoreGrace: whether they were deleted
+    /// is not known. Empty: onDeleted is called.
+    std::function<void(const std::string &name, Micros now)> onLost{};
     /// Called for each object of a list whose version is known already. Some of its fields may have changed without a new version. May be empty.
     std::function<void(const PlatformObject &, Micros now)> onUnchanged{};
     /// Called for each object of the first list of an era that has the same version in a list requested after restoreGrace: nobody has written
--- a/packages/state/src/watcher.cpp
+++ b/packages/state/src/watcher.cpp
@@ -128,8 +128,9 @@
             ++it;
             continue;
         }
-        if (options.onDeleted) {
-            options.onDeleted(it->first, now);
+        const bool isLost = eraOf(it->second) < eraOf(reply.listVersion);
+        if (const auto &handler = isLost && options.onLost ? options.onLost : options.onDeleted) {
+            handler(it->first, now);
         }
         it = versions.erase(it);
     }
--- a/packages/state/tests/restore_test.cpp
+++ b/packages/state/tests/restore_test.cpp
@@ -48,6 +48,12 @@
             deleted.push_back(name);
         };
         options.onSettled = [this](const PlatformObject &object, Micros) { settled.push_back(object.name); };
+        if (tellsLost) {
+            options.onLost = [this](const std::string &name, Micros) {
+                objects.erase(name);
+                lost.push_back(name);
+            };
+        }
         watcher = std::make_unique<ObjectWatcher>(*client, options);
     }
     void freeze(Micros duration)
@@ -68,6 +74,8 @@
     std::unique_ptr<ObjectWatcher> watcher;
     std::map<std::string, PlatformObject> objects;
     std::vector<std::string> deleted;
+    bool tellsLost = false; ///< From the next restart(), objects that a copy lacked are not counted as deleted.
+    std::vector<std::string> lost;
     std::vector<std::string> settled;
 
 private:
@@ -251,6 +259,27 @@
     BOOST_TEST((process.marks() == site.marks()));
 }
 
+// Guards against objects that only a copy lacks and that count as deleted by somebody.
+BOOST_AUTO_TEST_CASE(objectsThatTheCopyLacksAreToldFromDeletedOnes)
+{
+    Site site;
+    WatchingProcess process(site.platform, 1);
+    process.tellsLost = true;
+    process.restart();
+    site.write("old");
+    site.run(3 * MicrosPerSecond);
+    site.write("lost");
+    site.run(500 * MicrosPerMilli);
+    site.restore(2 * MicrosPerSecond, MicrosPerSecond, true);
+    site.run(6 * MicrosPerSecond);
+    BOOST_TEST((process.lost == std::vector<std::string>{ "lost" }));
+    BOOST_TEST(process.deleted.empty());
+    site.remove("old");
+    site.run(MicrosPerSecond);
+    BOOST_TEST((process.deleted == std::vector<std::string>{ "old" }));
+    BOOST_TEST(process.lost.size() == 1U);
+}
+
 // Guards against an old copy of an object that counts as written after the restore, and against one that never counts as what the platform
 // has although nobody writes the object again.
 BOOST_AUTO_TEST_CASE(copiesAreToldFromWhatWasWrittenAfterTheRestore)
