Remember the process that a newer one of its id replaced

After a restore of the platform's store from an older copy, requests could go to a process that had been replaced by a newer one of its id, if the newer one had been removed from the list for so long that its entry was gone: nothing told then that the process of the copy is older.

A process whose id is used by another one is noted as not listed, so that a copy of its entry alone does not make it available.

Evidence: the new seeded test noServerComesBackWithACopyAndNoneIsLost plays four servers that drain, leave, expire, restart and report, and a store that is copied and restored. Its ids are longer than three characters: upstreamIncarnation() gave equal values for ids of three characters that differ in the last one, with start times a few milliseconds apart.

--- a/packages/gateway/src/upstream_list.cpp
+++ b/packages/gateway/src/upstream_list.cpp
@@ -33,6 +33,10 @@
         if (entry) {
             cacheIndex_.removeHolder(entry->number);
             removeFromIpIndex(entry);
+            // A copy may show it again after the entry of the newer process has been removed.
+            if (restarted && entry->record.startedAtMs != 0) {
+                availability_.noteUnlisted(entry->process, now);
+            }
         }
         entry = std::make_shared<Upstream>();
         entry->number = static_cast<UpstreamNumber>(byNumber_.size());
--- a/packages/gateway/tests/restored_list_test.cpp
+++ b/packages/gateway/tests/restored_list_test.cpp
@@ -1,8 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
+#include "carobhall/poison_request_detector.h"
 #include "carobhall/upstream_table.h"
 
+#include <cstdlib>
+#include <map>
 #include <random>
+#include <set>
 
 // The platform's list of upstreams comes back from an older copy.
 
@@ -155,3 +159,163 @@
     list.table.update(ready(5, true, Born + 9), 5 * Second);
     BOOST_TEST(!list.table.crashedProcess("i-1", std::nullopt));
 }
+
+namespace
+{
+
+/// Servers, the store that lists them, and a gateway that follows it.
+class ListedServers
+{
+public:
+    explicit ListedServers(std::uint64_t seed)
+        : random_(seed)
+    {
+        for (const std::string id : { "server-of-desk-1", "server-of-desk-2", "server-of-desk-3", "server-of-desk-4" }) {
+            start(id);
+        }
+        copy_ = store_;
+    }
+
+    void step()
+    {
+        now_ += static_cast<Micros>(random_() % (15 * Second));
+        const std::string id = "server-of-desk-" + std::to_string(random_() % 4 + 1);
+        UpstreamRecord &server = servers_[id];
+        switch (random_() % 8) {
+        case 0:
+            copy_ = store_;
+            return;
+        case 1:
+            restore();
+            return;
+        case 2:
+            if (!gone_.contains(processOf(server))) {
+                server.draining = true;
+                report(id);
+            }
+            return;
+        case 3: // Leaves without having said so.
+            gone_.insert(processOf(server));
+            unlist(id);
+            return;
+        case 4:
+            start(id);
+            return;
+        case 5: // Expires.
+            unlist(id);
+            return;
+        default:
+            report(id);
+        }
+    }
+    void reportAll()
+    {
+        for (const auto &[id, server] : servers_) {
+            report(id);
+        }
+    }
+    void check(bool haveAllReported)
+    {
+        for (const auto &[id, upstream] : table_.byId()) {
+            if (upstream->present && table_.isUsable(*upstream, now_)) {
+                BOOST_REQUIRE(!gone_.contains(upstream->process));
+            }
+        }
+        for (const auto &[id, server] : servers_) {
+            if (haveAllReported && !server.draining && !gone_.contains(processOf(server))) {
+                const UpstreamRef upstream = table_.byId().at(id);
+                BOOST_REQUIRE(upstream->process == processOf(server));
+                BOOST_REQUIRE((upstream->present && table_.isUsable(*upstream, now_)));
+            }
+        }
+    }
+
+private:
+    [[nodiscard]] static Incarnation processOf(const UpstreamRecord &record)
+    {
+        return upstreamIncarnation(record.id, record.startedAtMs);
+    }
+    void start(const std::string &id)
+    {
+        if (const auto found = servers_.find(id); found != servers_.end()) {
+            gone_.insert(processOf(found->second));
+        }
+        servers_[id] = {
+            .id = id, .service = "desk", .address = "10.9.0." + id.substr(id.size() - 1) + ":80", .zone = "a", .slots = 6, .startedAtMs = ++lastBorn_
+        };
+        report(id);
+    }
+    /// The server writes to the store, and the gateway reads it.
+    void report(const std::string &id)
+    {
+        UpstreamRecord &server = servers_[id];
+        if (gone_.contains(processOf(server)) && !server.draining) {
+            return;
+        }
+        ++server.sequence;
+        const auto listed = store_.find(id);
+        const bool isUnchanged = listed != store_.end() && listed->second.startedAtMs == server.startedAtMs && listed->second.draining == server.draining;
+        store_[id] = server;
+        if (isUnchanged) {
+            table_.noteUnchanged(server);
+        } else {
+            table_.update(server, now_);
+        }
+        if (server.draining) {
+            gone_.insert(processOf(server));
+        }
+    }
+    void unlist(const std::string &id)
+    {
+        store_.erase(id);
+        table_.remove(id, now_);
+    }
+    void restore()
+    {
+        store_ = copy_;
+        for (const auto &[id, listed] : store_) {
+            UpstreamRecord record = listed;
+            record.mayBeCopied = true;
+            table_.update(record, now_);
+        }
+        check(false);
+        now_ += 3 * Second;
+        for (const auto &[id, server] : servers_) {
+            if (!store_.contains(id)) {
+                table_.remove(id, now_);
+            }
+        }
+    }
+
+    std::mt19937_64 random_;
+    UpstreamTable table_{ { .zone = "a", .regionOfZone = { { "a", "east" } } }, 1 };
+    std::map<std::string, UpstreamRecord> servers_;
+    std::map<std::string, UpstreamRecord> store_;
+    std::map<std::string, UpstreamRecord> copy_;
+    std::set<Incarnation> gone_; ///< Processes that drain or have left, as the gateway has seen.
+    std::int64_t lastBorn_ = Born;
+    Micros now_ = Second;
+};
+
+} // namespace
+
+// Guards against servers that come back with a copy after they left, and against servers that live and are lost, in random histories.
+BOOST_AUTO_TEST_CASE(noServerComesBackWithACopyAndNoneIsLost)
+{
+    const char *const text = std::getenv("CAROBHALL_SEEDS"); // NOLINT(concurrency-mt-unsafe): no other thread.
+    const std::uint64_t seeds = text == nullptr ? 20 : std::stoull(text);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            ListedServers servers(seed);
+            for (int i = 0; i < 200; ++i) {
+                servers.step();
+                servers.check(false);
+                if (i % 20 == 19) {
+                    servers.reportAll();
+                    servers.check(true);
+                }
+            }
+        }
+    }
+}
