--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -54,6 +54,8 @@
     Micros removedAt = 0;  ///< When it was removed from the list; 0: present.
     bool replaced = false; ///< Another process has its address: this one has ended, even if the list still contains it.
 
+    bool earlierListed = false; ///< The list shows an earlier process under the id, in a copy that lacks this one.
+
     EngineLoad load{};
     Micros loadAt = 0; ///< When `load` was reported; 0: never.
 
@@ -161,8 +163,11 @@
     /// \p gateway is the name of this process.
     UpstreamTable(Locality locality, std::uint64_t seed, Micros weightsDeadline = DefaultWeightsDeadline, std::string gateway = {});
 
-    /// Adds or replaces a record of the platform's list.
-    void update(UpstreamRecord record);
+    /// Adds or replaces a record of the platform's list. A process that was draining once stays so, whatever later records say.
+    /// An entry that may be copied does not replace a process that started later, neither that of its id nor the one at its address.
+    void update(UpstreamRecord record, Micros now = 0);
+    /// The platform's list contains an entry that has not changed, except for its sequence.
+    void noteUnchanged(const UpstreamRecord &record);
     /// A rollout of weights \p version has begun. Engines that keep older weights for too long are no longer chosen.
     void noteWeightsTarget(std::uint64_t version, Micros now);
     /// Another process answered at the address of \p upstream.
@@ -198,7 +203,10 @@
 
     /// Which processes take requests. Those that do not are never chosen.
     [[nodiscard]] UpstreamAvailability &availability();
-    /// Whether the platform's list or the process itself has announced its shutdown.
+    /// The known process of upstream \p id, if it crashed: it was not shutting down, and the list shows a process that started later, at
+    /// \p startedAtMs, or its entry was removed (empty). An earlier process, and the removal of its entry, come from a copy.
+    [[nodiscard]] UpstreamRef crashedProcess(std::string_view id, std::optional<std::int64_t> startedAtMs) const;
+    /// Whether the platform's list or the process itself has announced its shutdown, or the list has lacked its entry and shows a copy of it.
     [[nodiscard]] bool isShuttingDown(const Upstream &upstream) const;
     /// Whether requests may be sent to \p upstream if the platform lists it.
     [[nodiscard]] bool isUsable(const Upstream &upstream, Micros now) const;
@@ -229,6 +237,9 @@
     [[nodiscard]] const QueueWaitLimit &queueWaitLimit() const;
 
 private:
+    /// An entry that expired while the platform's list was unavailable returns within two seconds if the upstream is alive.
+    static constexpr Micros RemovalGracePeriod = 2 * MicrosPerSecond;
+
     /// The upstream with the lowest cost, whatever limits it has named.
     [[nodiscard]] UpstreamRef cheapestPlainUpstream(const Service &service, std::span<const UpstreamRef> tried, Micros now);
     [[nodiscard]] std::variant<EngineChoice, RefusalReason> cheapestEngine(const PromptDemand &demand, const Service &service,
