Keep the stored evidence of crashes right across restores of the store

After a restore from an older copy, evidence that a gateway had saved since the copy stayed out of the store, and the object of a feature that had a sound run was back. Such an object has ages relative to its last crash, so a gateway that read it took the crashes for fresh ones and blocked sound requests again; nobody deleted it. Cause: the names of the stored objects were believed for the life of the process, and the store was read once.

In a new era the names are forgotten and the objects read again; what is still blocked is saved again. Features with a sound run are remembered for an hour, as long as crashes are, and the copy of their object is not merged but deleted at the version that was read. A later object of the feature counts as new evidence. The fake platform now takes a deletion without a version, as the store's adapter sends it.

Not distinguished: evidence of a new crash that another gateway writes between the restore and the first reading; it counts as the copy.

--- a/packages/gateway/src/crash_evidence_store.cpp
+++ b/packages/gateway/src/crash_evidence_store.cpp
@@ -8,6 +8,12 @@
 CrashEvidenceStore::CrashEvidenceStore(CrashEvidenceStoreOptions options)
     : options_(std::move(options))
 {
+    options_.platform->onRestored([this, alive = std::weak_ptr(alive_)](Micros) {
+        if (!alive.expired()) {
+            stored_.clear();
+            wasRead_ = false;
+        }
+    });
 }
 
 void CrashEvidenceStore::tick(bool hasSidecars, Micros now)
@@ -56,10 +62,11 @@
 void CrashEvidenceStore::write(Micros now)
 {
     const std::string name = pending_.begin()->first;
-    const std::optional<CrashEvidence> &evidence = pending_.begin()->second;
+    const auto &[evidence, baseVersion] = pending_.begin()->second;
     PlatformCall call{ .verb = evidence ? PlatformVerb::Create : PlatformVerb::Delete,
                        .kind = options_.codec->crashEvidenceKind,
                        .name = name,
+                       .baseVersion = baseVersion,
                        .spec = evidence ? options_.codec->encodeCrashEvidence(*evidence) : Json::Value() };
     callInFlight_ = true;
     nextCallAt_ = now;
@@ -69,7 +76,7 @@
             return;
         }
         callInFlight_ = false;
-        const bool done = !reply.error || reply.error == Errc::AlreadyExists || reply.error == Errc::NotFound;
+        const bool done = !reply.error || reply.error == Errc::AlreadyExists || reply.error == Errc::NotFound || reply.error == Errc::Conflict;
         logEvent(LogLevel::Info, isSave ? "crash_evidence_saved" : "crash_evidence_removed", { { "feature", name }, { "error", reply.error } });
         if (!done) {
             nextCallAt_ = at + RetryInterval;
@@ -81,7 +88,7 @@
             stored_.erase(name);
         }
         // The other of save() and remove() may have been called meanwhile.
-        if (const auto found = pending_.find(name); found != pending_.end() && found->second.has_value() == isSave) {
+        if (const auto found = pending_.find(name); found != pending_.end() && found->second.evidence.has_value() == isSave) {
             pending_.erase(found);
         }
     });
@@ -94,26 +101,45 @@
         logEvent(LogLevel::Warning, "crash_evidence_unreadable", { { "name", object.name } });
         return;
     }
-    if (stored_.insert(object.name).second) {
+    if (isDisprovedCopy(object)) {
+        pending_.insert_or_assign(object.name, PendingWrite{ .baseVersion = object.version });
+    } else if (stored_.insert(object.name).second) {
         options_.onEvidence(*evidence);
     }
 }
 
+bool CrashEvidenceStore::isDisprovedCopy(const PlatformObject &object)
+{
+    const auto found = disproved_.find(object.name);
+    if (found == disproved_.end()) {
+        return false;
+    }
+    Disproved &disproved = found->second;
+    if (eraOf(object.version) > disproved.era) {
+        disproved.era = eraOf(object.version);
+        disproved.copyVersion = object.version;
+    }
+    return object.version == disproved.copyVersion;
+}
+
 void CrashEvidenceStore::save(RequestFeature feature, CrashEvidence evidence)
 {
     std::string name = toHex(feature);
+    disproved_.erase(name);
     if (!stored_.contains(name)) {
-        pending_.insert_or_assign(std::move(name), std::move(evidence));
+        pending_.insert_or_assign(std::move(name), PendingWrite{ .evidence = std::move(evidence) });
     }
 }
 
-void CrashEvidenceStore::remove(RequestFeature feature)
+void CrashEvidenceStore::remove(RequestFeature feature, Micros now)
 {
+    std::erase_if(disproved_, [now](const auto &entry) { return entry.second.at + DisprovedLifetime < now; });
     std::string name = toHex(feature);
+    disproved_.insert_or_assign(name, Disproved{ .at = now, .era = options_.platform->era() });
     if (stored_.contains(name)) {
-        pending_.insert_or_assign(std::move(name), std::nullopt);
-    } else {
-        pending_.erase(name);
+        pending_.insert_or_assign(std::move(name), PendingWrite{});
+    } else if (const auto found = pending_.find(name); found != pending_.end() && found->second.evidence) {
+        pending_.erase(found);
     }
 }
 
--- a/packages/gateway/src/crash_evidence_store.h
+++ b/packages/gateway/src/crash_evidence_store.h
@@ -6,6 +6,9 @@
 // The store is read once at the start, and watched only while there is no link to a sidecar: a watch costs calls. One object per blocked feature
 // is written by the gateways that saw one of its crashes, and deleted by one that sees a sound run. Writes are repeated until the store
 // answers.
+//
+// A restore of the store undoes writes and deletions. The store is then read again, what was saved is saved again, and the object of a feature
+// that had a sound run before the restore is deleted again: its ages are relative, so that its crashes would count as fresh ones.
 
 #include "carobhall/crash_evidence.h"
 #include "carobhall/gateway.h"
@@ -31,23 +34,41 @@
     void tick(bool hasSidecars, Micros now);
     /// Writes the crashes of a blocked feature, unless they are stored.
     void save(RequestFeature feature, CrashEvidence evidence);
-    /// Deletes the object of a feature that has had a sound run, if there is one.
-    void remove(RequestFeature feature);
+    /// Deletes the object of a feature that has had a sound run, if there is one, also if a restore brings it back.
+    void remove(RequestFeature feature, Micros now);
 
 private:
     static constexpr Micros RetryInterval = MicrosPerSecond;
     /// Links to sidecars open within less than this after the start.
     static constexpr Micros WatchDelay = 4 * MicrosPerSecond;
 
+    /// As long as processes remember crashes.
+    static constexpr Micros DisprovedLifetime = 3'600 * MicrosPerSecond;
+
+    struct PendingWrite {
+        std::optional<CrashEvidence> evidence{}; ///< Empty: the object is deleted.
+        std::uint64_t baseVersion = 0;           ///< 0: any version is deleted.
+    };
+
+    /// A feature that had a sound run.
+    struct Disproved {
+        Micros at = 0;
+        std::uint64_t era = 0;         ///< Objects of later eras are copies that a restore brought back.
+        std::uint64_t copyVersion = 0; ///< Version of the last such copy.
+    };
+
     void read(Micros now);
     void write(Micros now);
     void onObject(const PlatformObject &object);
+    /// A restore has brought back the object of a feature that had a sound run before.
+    bool isDisprovedCopy(const PlatformObject &object);
 
     CrashEvidenceStoreOptions options_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Replies that arrive after the destruction are dropped.
     std::unique_ptr<ObjectWatcher> watcher_;
-    std::set<std::string, std::less<>> stored_;                                ///< Names of objects that the store has, as far as known.
-    std::map<std::string, std::optional<CrashEvidence>, std::less<>> pending_; ///< Objects to write; empty: to delete.
+    std::set<std::string, std::less<>> stored_;                ///< Names of objects that the store has, as far as known.
+    std::map<std::string, PendingWrite, std::less<>> pending_; ///< By name of the object.
+    std::map<std::string, Disproved, std::less<>> disproved_;  ///< By name of the object.
     bool wasRead_ = false;
     bool callInFlight_ = false;
     Micros nextCallAt_ = 0;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -72,7 +72,7 @@
     /// Sends what this gateway has learned of requests that crash upstreams to the others.
     void shareCrashEvidence(Micros now);
     /// Removes the features that had sound runs from the platform's store.
-    void removeDisproved(const CrashEvidence &evidence);
+    void removeDisproved(const CrashEvidence &evidence, Micros now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool refusesRequests(Micros now) const;
     [[nodiscard]] bool refusesStreams(Micros now) const;
@@ -210,8 +210,9 @@
         .crashEvidence = [this] { return poisonRequests.all(monotonicNow()); },
         .onCrashEvidence =
             [this](const CrashEvidence &evidence) {
-                poisonRequests.merge(evidence, monotonicNow());
-                removeDisproved(evidence);
+                const Micros now = monotonicNow();
+                poisonRequests.merge(evidence, now);
+                removeDisproved(evidence, now);
             },
     });
     crashEvidenceStore = std::make_unique<CrashEvidenceStore>(CrashEvidenceStoreOptions{
@@ -521,13 +522,13 @@
                { "cleared", news.sound.size() },
                { "first_cleared", news.sound.empty() ? std::string("-") : toHex(news.sound.front().feature) } });
     links->broadcast(news);
-    removeDisproved(news);
+    removeDisproved(news, now);
 }
 
-void Gateway::Impl::removeDisproved(const CrashEvidence &evidence)
+void Gateway::Impl::removeDisproved(const CrashEvidence &evidence, Micros now)
 {
     for (const SoundRecord &record : evidence.sound) {
-        crashEvidenceStore->remove(record.feature);
+        crashEvidenceStore->remove(record.feature, now);
     }
 }
 
--- a/packages/state/tests/fake_platform.h
+++ b/packages/state/tests/fake_platform.h
@@ -110,8 +110,8 @@
                 reply.error = Errc::NotFound;
                 return reply;
             }
-            // A platform compares revisions: one that is given out again matches.
-            if (revisionOf(found->second.version) != revisionOf(call.baseVersion)) {
+            // A platform compares revisions: one that is given out again matches. A deletion may name none.
+            if ((call.verb == PlatformVerb::Update || call.baseVersion != 0) && revisionOf(found->second.version) != revisionOf(call.baseVersion)) {
                 reply.error = Errc::Conflict;
                 return reply;
             }
