Wait for peers before a gateway that starts uses the copy of a restored store

A gateway that started while the store had the older copy accepted an API key that was withdrawn before the restore, for up to 0.7 s: 36 requests of 315 with one gateway restarted, 55 of 288 with all. Cause: it adopted the copy at once, and requested the newer configuration of its sidecars only 350 ms after their offer.

In an era after the first, the first configuration of the store is not used, neither for readiness nor for requests, until three sidecars have offered none that is newer, or for 1 s; a newer one is requested at once. The links need the configuration to tell model servers, so it is held meanwhile. A platform that was never restored, one without eras, and installations without model servers do not wait.

Not covered: all gateways and sidecars restarted at once, when nobody holds the newer configuration.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -21,6 +21,12 @@
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Interval of Impl::tick().
 /// After a restore of the platform, the operator has this long to write again what was acknowledged. What the platform has then is right.
 constexpr Micros ConfigRestoreGrace = 5 * MicrosPerSecond;
+
+/// How long a gateway that starts on a store that was restored waits for what its peers hold, and how many of them suffice.
+constexpr Micros ConfigConfirmLimit = MicrosPerSecond;
+constexpr unsigned ConfigConfirmingPeers = 3;
+/// Era of a platform that was never restored.
+constexpr std::uint64_t FirstEra = 1;
 /// Interval at which newly blocked features are looked for. A restart of all processes within less of a crash is a rare accident.
 constexpr Micros EvidenceSaveInterval = 250 * MicrosPerMilli;
 
@@ -63,6 +69,8 @@
     void adoptConfig(const Json::Value &spec, ConfigStamp stamp, std::string_view source);
     void onConfigObject(const PlatformObject &object, bool isSettled);
     void onPeerConfig(const ConfigData &data);
+    /// Uses the first configuration once peers have confirmed it, or after a limit.
+    void confirmConfig(Micros now);
     void subscribeToCacheStore();
     void onUpstream(const PlatformObject &object, Micros now);
     /// Reports a crash of the known process of upstream \p id if it was not draining and the list now contains a process with another
@@ -91,6 +99,9 @@
     std::shared_ptr<const RouteTable> routes;
     CallerLimitHistory callerLimits;
     HeldConfig heldConfig; ///< Stamp of `routes`.
+    /// `routes` may be the older copy of a restored store and are not used until then; 0: they are used.
+    Micros configUnconfirmedUntil = 0;
+    unsigned configConfirmations = 0; ///< Offers of peers that were not newer than `routes`.
     ChannelListener listener;
     ObjectRef<SoupServer> readiness;
     std::unique_ptr<AdminListener> admin;
@@ -187,12 +198,15 @@
         .upstreams = &upstreams,
         .configuration = [this] { return heldConfig.stamp(); },
         .configurationText = [this] { return routes ? routes->config().text : std::string(); },
-        .platformAvailable = [this] { return options.platform->available(); },
+        // While the configuration is unconfirmed, a newer one of a peer is requested at once.
+        .platformAvailable = [this] { return options.platform->available() && configUnconfirmedUntil == 0; },
         .platformEra = [this] { return options.platform->era(); },
         .onPlatformEra = [this](std::uint64_t era) { options.platform->noteEra(era, monotonicNow()); },
         .onConfigurationOffer =
             [this](const ConfigStamp &stamp) {
-                if (compareConfigs(stamp, heldConfig.stamp()) == ConfigRelation::Same) {
+                const ConfigRelation relation = compareConfigs(stamp, heldConfig.stamp());
+                configConfirmations += relation != ConfigRelation::Newer && stamp.version != 0 ? 1 : 0;
+                if (relation == ConfigRelation::Same) {
                     heldConfig.offer(stamp);
                 }
             },
@@ -233,6 +247,7 @@
     configWatcher->tick(now);
     upstreamWatcher->tick(now);
     links->tick(routes.get(), now);
+    confirmConfig(now);
     if (options.onFleetSize && links->openCount() == 0) {
         // Without a link, nobody passes on configurations.
         options.onFleetSize(1);
@@ -277,7 +292,7 @@
 
 bool Gateway::Impl::isReady() const
 {
-    return stoppingSince == 0 && routes && upstreams.readyCount({}) > 0;
+    return stoppingSince == 0 && routes && configUnconfirmedUntil == 0 && upstreams.readyCount({}) > 0;
 }
 
 bool Gateway::Impl::refusesRequests(Micros now) const
@@ -368,7 +383,7 @@
 {
     const Micros now = monotonicNow();
     const auto exchange = std::make_shared<Exchange>(ExchangeOptions{ .context = &context,
-                                                                      .routes = routes,
+                                                                      .routes = configUnconfirmedUntil == 0 ? routes : nullptr,
                                                                       .caller = caller,
                                                                       .head = std::move(head),
                                                                       .body = std::move(body),
@@ -446,6 +461,9 @@
                    { "accounts", config->accounts.size() } });
         callerLimits.adopt(config->limits, monotonicNow());
         routes = std::make_shared<RouteTable>(std::move(*config));
+        const bool mayBeCopy = before.version == 0 && source == "platform" && stamp.era > FirstEra && !stamp.isExact;
+        configUnconfirmedUntil = mayBeCopy ? monotonicNow() + ConfigConfirmLimit : 0;
+        configConfirmations = 0;
         subscribeToCacheStore();
     }
     if (source == "platform" && heldConfig.stamp() != before) {
@@ -453,6 +471,18 @@
     }
 }
 
+void Gateway::Impl::confirmConfig(Micros now)
+{
+    if (configUnconfirmedUntil == 0) {
+        return;
+    }
+    const bool hasNoPeers = upstreams.readyCount({}) > 0 && !links->hasLinks();
+    if (hasNoPeers || configConfirmations >= ConfigConfirmingPeers || now >= configUnconfirmedUntil) {
+        logEvent(LogLevel::Info, "configuration_confirmed", { { "version", heldConfig.stamp().version }, { "peers", configConfirmations } });
+        configUnconfirmedUntil = 0;
+    }
+}
+
 void Gateway::Impl::subscribeToCacheStore()
 {
     const Service *const store = routes->cacheStore();
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -142,6 +142,11 @@
     return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) { return entry.second.open; }));
 }
 
+bool SidecarLinks::hasLinks() const
+{
+    return !links_.empty();
+}
+
 void SidecarLinks::onMessage(ConnectionId connection, Message message)
 {
     const auto found = ipOf_.find(connection);
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -47,6 +47,8 @@
     /// Sends \p message to a few sidecars, which pass its contents on to all gateways.
     void broadcast(const Message &message);
     [[nodiscard]] std::size_t openCount() const;
+    /// Whether the table has model servers, whose sidecars are connected or will be.
+    [[nodiscard]] bool hasLinks() const;
 
 private:
     /// A link without a message for this long is reconnected. Sidecars report at least every second.
