Give a lease record of an earlier era a new fencing token

A process whose lease was released before a restore, and is held in the restored copy, got its old token again when it asked for the same order. Another process may have had a higher one meanwhile, so that the token went down. Cause: its own record in the object was renewed, whichever era its token was from. A record of an earlier era is now replaced; its token starts above the version of the object, which contains the era.

Test: aReleasedLeaseInTheCopyGivesNoOlderToken failed before (" <="). aLeaseThatThePlatformHasLostEnds passed before and after. The other cases of restore_test pass; leases_test passes.

--- a/packages/state/src/leases.cpp
+++ b/packages/state/src/leases.cpp
@@ -229,7 +229,10 @@
         deliverAnswer(entry, { .decision = LeaseDecision::Done }, now);
         return;
     }
-    if (ownRecord(entry, next) != nullptr) {
+    if (const LeaseRecord *const own = ownRecord(entry, next); own != nullptr && eraOf(own->token) < eraOf(entry.object.version)) {
+        // The copy of a restored platform: the lease may have been released, and granted under higher tokens, since.
+        std::erase_if(next.records, [token = own->token](const LeaseRecord &record) { return record.token == token; });
+    } else if (own != nullptr) {
         // An earlier write took effect at an unknown time. A renewal establishes a known start of the lease.
         renewRecord(entry, now);
         return;
--- a/packages/state/tests/restore_test.cpp
+++ b/packages/state/tests/restore_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE restore
 #include <boost/test/unit_test.hpp>
 
+#include "carobhall/leases.h"
 #include "fake_platform.h"
 
 #include <cstdlib>
@@ -320,3 +321,101 @@
     site.run(MicrosPerSecond);
     BOOST_TEST(eraOf(process.objects.at("one").version) == 2U);
 }
+
+namespace
+{
+
+/// A process that asks for the lease of one server.
+class LeaseProcess : public SimulatedProcess
+{
+public:
+    LeaseProcess(FakePlatform &target, Incarnation first)
+        : SimulatedProcess(target, first)
+    {
+        start();
+    }
+    ~LeaseProcess() override
+    {
+        crash();
+    }
+    void acquire()
+    {
+        LeaseRequest request = serverLease("s", "order-" + std::to_string(incarnation));
+        request.duration = LeaseTime;
+        leases->acquire(request, now(), [this](LeaseAnswer answer, Micros) {
+            if (answer.decision == LeaseDecision::Granted) {
+                token = answer.token;
+            }
+        });
+    }
+    void release()
+    {
+        leases->release(serverLease("s", "").name, now());
+    }
+    [[nodiscard]] bool holds() const
+    {
+        return leases->isValid(serverLease("s", "").name, token, now());
+    }
+
+    static constexpr Micros LeaseTime = 4 * MicrosPerSecond;
+    std::unique_ptr<Leases> leases;
+    FencingToken token = 0;
+
+private:
+    void create() override
+    {
+        leases = std::make_unique<Leases>(*client, LeasesOptions{ .environment = "guild", .holder = incarnation, .seed = incarnation, .onLost = {} });
+    }
+    void destroy() override
+    {
+        leases.reset();
+    }
+    void onTick() override
+    {
+        leases->tick(now());
+    }
+};
+
+} // namespace
+
+// Guards against a lease that the platform has lost and that its holder believes in for longer than its time, and against a lower token afterwards.
+BOOST_AUTO_TEST_CASE(aLeaseThatThePlatformHasLostEnds)
+{
+    Site site;
+    LeaseProcess one(site.platform, 1);
+    LeaseProcess other(site.platform, 2);
+    const FakePlatform::Copy copy = site.platform.copy();
+    one.acquire();
+    site.run(MicrosPerSecond / 2);
+    BOOST_REQUIRE(one.holds());
+    site.platform.restore(copy);
+    site.run(LeaseProcess::LeaseTime);
+    BOOST_TEST(!one.holds());
+    other.acquire();
+    site.run(MicrosPerSecond);
+    BOOST_REQUIRE(other.holds());
+    BOOST_TEST(other.token > one.token);
+}
+
+// Guards against a token that goes down because the copy has a record that was released before the restore.
+BOOST_AUTO_TEST_CASE(aReleasedLeaseInTheCopyGivesNoOlderToken)
+{
+    Site site;
+    LeaseProcess one(site.platform, 1);
+    LeaseProcess other(site.platform, 2);
+    one.acquire();
+    site.run(MicrosPerSecond / 2);
+    BOOST_REQUIRE(one.holds());
+    const FakePlatform::Copy copy = site.platform.copy();
+    one.release();
+    site.run(MicrosPerSecond / 2);
+    other.acquire();
+    site.run(MicrosPerSecond / 2);
+    BOOST_REQUIRE(other.holds());
+    BOOST_REQUIRE(other.token > one.token);
+    site.platform.restore(copy);
+    one.acquire();
+    site.run(2 * LeaseProcess::LeaseTime);
+    BOOST_REQUIRE(one.holds());
+    BOOST_TEST(one.token > other.token);
+}
