--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -507,6 +507,10 @@
                 break;
             }
             auto planned = planAttempt(upstreamsNotToUse(again, !available), now);
+            if (std::holds_alternative<NoAttempt>(planned) && again && !available) {
+                // None of the silent upstreams takes requests any more.
+                planned = planAttempt(upstreamsNotToUse(again, false), now);
+            }
             if (std::holds_alternative<NoAttempt>(planned)) {
                 continue;
             }
