Tell processes with short ids and similar start times apart

Two processes could have the same identity, so that the leaving of one, or a crash, counted for the other: of 8,000 processes with ids i-0 to i-39 and 200 start times, 6,218 identities were different. Cause: the start time was the seed of XXH3, which for inputs of one to three bytes is combined linearly with the text. It is now part of the hashed text. The values go over the wire and into stored evidence of crashes; old and new programs do not recognise each other's during an upgrade. Test: processesWithSimilarIdsAndStartTimesAreToldApart, failing before.

--- a/packages/gateway/src/poison_request_detector.cpp
+++ b/packages/gateway/src/poison_request_detector.cpp
@@ -60,7 +60,9 @@
 
 Incarnation upstreamIncarnation(std::string_view id, std::int64_t startedAtMs)
 {
-    return XXH3_64bits_withSeed(id.data(), id.size(), static_cast<std::uint64_t>(startedAtMs));
+    // The start time is part of the hashed text: as a seed it cancels out differences between short ids.
+    const std::string text = std::string(id) + ' ' + std::to_string(startedAtMs);
+    return XXH3_64bits(text.data(), text.size());
 }
 
 PoisonRequestDetector::PoisonRequestDetector(std::uint64_t seed)
--- a/packages/gateway/tests/poison_request_detector_test.cpp
+++ b/packages/gateway/tests/poison_request_detector_test.cpp
@@ -4,6 +4,8 @@
 
 #include <rapidcheck.h>
 
+#include <set>
+
 using namespace Carobhall;
 
 namespace
@@ -83,6 +85,20 @@
     BOOST_TEST(upstreamIncarnation("i-1", 5) != upstreamIncarnation("i-1", 6));
 }
 
+// Guards against two processes that are taken for one, so that what one of them announces counts for the other.
+BOOST_AUTO_TEST_CASE(processesWithSimilarIdsAndStartTimesAreToldApart)
+{
+    constexpr int Ids = 40;
+    constexpr std::int64_t Starts = 200;
+    std::set<Incarnation> seen;
+    for (int id = 0; id < Ids; ++id) {
+        for (std::int64_t start = 0; start < Starts; ++start) {
+            seen.insert(upstreamIncarnation("i-" + std::to_string(id), 1'764'900'000'000 + start));
+        }
+    }
+    BOOST_TEST(seen.size() == static_cast<std::size_t>(Ids * Starts));
+}
+
 // Guards against gateways that disagree on blocked requests because they received facts in different orders or more than once.
 BOOST_AUTO_TEST_CASE(gatewaysConvergeRegardlessOfTheOrderOfFacts)
 {
