Name what a newcomer stumbles over in the code on restores

The revision in the log lines of upstreams contained the era. A multiplication in restore_test was rejected by the linter.

--- a/packages/gateway/include/carobhall/config_stamp.h
+++ b/packages/gateway/include/carobhall/config_stamp.h
@@ -18,9 +18,9 @@
 /// What is known of a configuration. An empty one has version 0.
 struct ConfigStamp {
     std::uint64_t version = 0;
-    std::uint64_t era = 0;    ///< Era of the platform that showed the configuration; 0: not known, or the platform names none.
-    bool isExact = false;     ///< Written in `era`, or still there after its grace. False: in `era` or before.
-    std::uint64_t digest = 0; ///< Of the text; 0: not known.
+    std::uint64_t era = 0;     ///< Era of the platform that showed the configuration; 0: not known, or the platform names none.
+    bool isEraCertain = false; ///< Written in `era`, or still there after its grace. False: in `era` or before.
+    std::uint64_t digest = 0;  ///< Of the text; 0: not known.
 
     bool operator==(const ConfigStamp &other) const = default;
 };
--- a/packages/gateway/src/config_stamp.cpp
+++ b/packages/gateway/src/config_stamp.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Whether the contents differ although the version is the same. They can't, within an era.
-bool isGivenOutAgain(const ConfigStamp &candidate, const ConfigStamp &held)
+bool isReused(const ConfigStamp &candidate, const ConfigStamp &held)
 {
     return candidate.version == held.version && candidate.digest != held.digest && candidate.digest != 0 && held.digest != 0;
 }
@@ -21,12 +21,12 @@
 
 DocumentOrigin originOf(const ConfigStamp &stamp)
 {
-    return { .era = stamp.era, .isExact = stamp.isExact, .digest = stamp.digest };
+    return { .era = stamp.era, .isEraCertain = stamp.isEraCertain, .digest = stamp.digest };
 }
 
 ConfigStamp stampOf(std::uint64_t version, const DocumentOrigin &origin)
 {
-    return { .version = version, .era = origin.era, .isExact = origin.isExact, .digest = origin.digest };
+    return { .version = version, .era = origin.era, .isEraCertain = origin.isEraCertain, .digest = origin.digest };
 }
 
 std::uint64_t configDigest(std::string_view text)
@@ -39,15 +39,15 @@
     if (candidate.version == 0 || held.version == 0) {
         return candidate.version != 0 ? ConfigRelation::Newer : ConfigRelation::Older;
     }
-    if (candidate.version == held.version && !isGivenOutAgain(candidate, held)) {
+    if (candidate.version == held.version && !isReused(candidate, held)) {
         return ConfigRelation::Same;
     }
     bool isNewer = candidate.version > held.version;
-    if (isGivenOutAgain(candidate, held) || (candidate.isExact && held.isExact)) {
+    if (isReused(candidate, held) || (candidate.isEraCertain && held.isEraCertain)) {
         isNewer = std::tuple(candidate.era, candidate.version) > std::tuple(held.era, held.version);
-    } else if (candidate.isExact) {
+    } else if (candidate.isEraCertain) {
         isNewer = isNewer || candidate.era > held.era;
-    } else if (held.isExact) {
+    } else if (held.isEraCertain) {
         isNewer = isNewer && candidate.era >= held.era;
     }
     return isNewer ? ConfigRelation::Newer : ConfigRelation::Older;
@@ -55,7 +55,7 @@
 
 ConfigStamp mergedStamp(const ConfigStamp &one, const ConfigStamp &other)
 {
-    ConfigStamp merged = std::tuple(one.era, one.isExact) > std::tuple(other.era, other.isExact) ? one : other;
+    ConfigStamp merged = std::tuple(one.era, one.isEraCertain) > std::tuple(other.era, other.isEraCertain) ? one : other;
     merged.digest = one.digest != 0 ? one.digest : other.digest;
     return merged;
 }
@@ -63,7 +63,7 @@
 ConfigStamp adoptedStamp(const ConfigStamp &candidate, const ConfigStamp &held)
 {
     ConfigStamp adopted = candidate;
-    adopted.isExact = candidate.isExact || isGivenOutAgain(candidate, held);
+    adopted.isEraCertain = candidate.isEraCertain || isReused(candidate, held);
     return adopted;
 }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -19,7 +19,8 @@
 /// Responses of the KV cache store may cross regions. A long delay collects more events into each of them.
 constexpr Micros StorePollDelay = 200 * MicrosPerMilli;
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Interval of Impl::tick().
-/// After a restore of the platform, the operator has this long to write again what was acknowledged. What the platform has then is right.
+/// After a restore of the platform, the operator has this long to write again what was acknowledged. Then the platform's
+/// configuration is authoritative, whatever was held before.
 constexpr Micros ConfigRestoreGrace = 5 * MicrosPerSecond;
 
 /// How long a gateway that starts on a store that was restored waits for what its peers hold, and how many of them suffice.
@@ -434,7 +435,7 @@
 
 void Gateway::Impl::onConfigObject(const PlatformObject &object, bool isSettled)
 {
-    adoptConfig(object.spec, { .era = eraOf(object.version), .isExact = object.isWrittenInEra || isSettled }, "platform");
+    adoptConfig(object.spec, { .era = eraOf(object.version), .isEraCertain = object.isWrittenInEra || isSettled }, "platform");
 }
 
 void Gateway::Impl::onPeerConfig(const ConfigData &data)
@@ -468,12 +469,12 @@
                    { "before", before.version },
                    { "source", source },
                    { "era", stamp.era },
-                   { "exact", heldConfig.stamp().isExact },
+                   { "era_certain", heldConfig.stamp().isEraCertain },
                    { "routes", config->routes.size() },
                    { "accounts", config->accounts.size() } });
         callerLimits.adopt(config->limits, monotonicNow());
         routes = std::make_shared<RouteTable>(std::move(*config));
-        const bool mayBeCopy = before.version == 0 && source == "platform" && stamp.era > FirstEra && !stamp.isExact;
+        const bool mayBeCopy = before.version == 0 && source == "platform" && stamp.era > FirstEra && !stamp.isEraCertain;
         configUnconfirmedUntil = mayBeCopy ? monotonicNow() + ConfigConfirmLimit : 0;
         configConfirmations = 0;
         subscribeToCacheStore();
@@ -517,7 +518,7 @@
 {
     std::optional<UpstreamRecord> record = options.objectCodec.decodeUpstream(object);
     if (!record) {
-        logEvent(LogLevel::Warning, "upstream_unreadable", { { "name", object.name }, { "revision", object.version } });
+        logEvent(LogLevel::Warning, "upstream_unreadable", { { "name", object.name }, { "revision", revisionOf(object.version) } });
         upstreams.remove(object.name, now);
         return;
     }
@@ -528,7 +529,7 @@
                { "zone", record->zone },
                { "draining", record->draining },
                { "weights", record->weightsVersion },
-               { "revision", object.version } });
+               { "revision", revisionOf(object.version) } });
     noteIfCrashed(record->id, record->startedAtMs, now);
     record->mayBeCopied = !object.isWrittenInEra;
     upstreams.update(std::move(*record), now);
--- a/packages/gateway/tests/config_stamp_test.cpp
+++ b/packages/gateway/tests/config_stamp_test.cpp
@@ -11,12 +11,12 @@
 
 ConfigStamp exact(std::uint64_t era, std::uint64_t version, std::uint64_t digest)
 {
-    return { .version = version, .era = era, .isExact = true, .digest = digest };
+    return { .version = version, .era = era, .isEraCertain = true, .digest = digest };
 }
 
 ConfigStamp shown(std::uint64_t era, std::uint64_t version, std::uint64_t digest)
 {
-    return { .version = version, .era = era, .isExact = false, .digest = digest };
+    return { .version = version, .era = era, .isEraCertain = false, .digest = digest };
 }
 
 /// Offers each process's configuration to each other one until nothing changes. Returns false if that does not happen.
@@ -55,7 +55,7 @@
     BOOST_TEST((held.offer(exact(2, 13, 130)) == ConfigRelation::Same));
     BOOST_TEST((held.offer(exact(3, 11, 111)) == ConfigRelation::Newer));
     BOOST_TEST((held.offer(shown(4, 11, 112)) == ConfigRelation::Newer));
-    BOOST_TEST(held.stamp().isExact);
+    BOOST_TEST(held.stamp().isEraCertain);
     // Nobody has written it again within the grace.
     BOOST_TEST((held.offer(shown(5, 9, 90)) == ConfigRelation::Older));
     BOOST_TEST((held.offer(exact(5, 9, 90)) == ConfigRelation::Newer));
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -314,7 +314,7 @@
     }
     configText = std::move(text);
     logEvent(LogLevel::Info, "configuration_known",
-             { { "version", stamp.version }, { "era", stamp.era }, { "exact", heldConfig.stamp().isExact }, { "bytes", configText.size() } });
+             { { "version", stamp.version }, { "era", stamp.era }, { "era_certain", heldConfig.stamp().isEraCertain }, { "bytes", configText.size() } });
     announceVersions();
 }
 
--- a/packages/state/tests/restore_test.cpp
+++ b/packages/state/tests/restore_test.cpp
@@ -188,7 +188,7 @@
             }
             std::vector<std::unique_ptr<WatchingProcess>> processes;
             for (std::uint64_t i = 1; i <= 4; ++i) {
-                processes.push_back(std::make_unique<WatchingProcess>(site.platform, seed * 100 + i));
+                processes.push_back(std::make_unique<WatchingProcess>(site.platform, seed * std::uint64_t{ 100 } + i));
                 processes.back()->transport.latency = MicrosPerMilli + within(30 * MicrosPerMilli);
             }
             // All copies have the stable objects.
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -238,11 +238,11 @@
 
 /// Where the sender has the document from; tells versions apart that the platform has given out again after a restore.
 struct DocumentOrigin {
-    std::uint64_t era = 0;    ///< Era of the platform that showed the document; 0: not known.
-    bool isExact = false;     ///< The document was written in `era`. False: in `era` or before.
-    std::uint64_t digest = 0; ///< Of the text; 0: not known.
+    std::uint64_t era = 0;     ///< Era of the platform that showed the document; 0: not known.
+    bool isEraCertain = false; ///< The document was written in `era`. False: in `era` or before.
+    std::uint64_t digest = 0;  ///< Of the text; 0: not known.
 
-    MSGPACK_DEFINE(era, isExact, digest)
+    MSGPACK_DEFINE(era, isEraCertain, digest)
 };
 
 /// A version of the environment document, complete or as a delta. A reply without text means that the sender has no newer one.
