--- a/review/standins/engine.h
+++ b/review/standins/engine.h
@@ -132,8 +132,8 @@
         for (int i = 1; i <= 3; ++i) {
             body += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + " of " + id + "\n\n";
         }
-        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCarobhall-Server-Seal: seal-" + id + "\r\n" + fields + "Content-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCarobhall-Server-Seal: seal-" + id + "\r\n" + fields
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     std::string answer(const HttpHead &head, const std::string &body)
     {
@@ -210,7 +210,8 @@
     if (descriptor < 0) {
         return 0;
     }
-    sendAll(descriptor, "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Model: " + model
+    sendAll(descriptor,
+            "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Model: " + model
                 + "\r\nCarobhall-Token-Count: 900,20\r\nCarobhall-Prompt-Prefix: " + parts + "\r\nCarobhall-Deadline-Ms: 5000\r\nAuthorization: Bearer " + key
                 + "\r\nContent-Length: 6\r\n\r\nprompt");
     std::string buffer;
--- a/review/standins/memory_burst.cpp
+++ b/review/standins/memory_burst.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t MemoryLimit = 110'000'000; ///< memoryMb of a front machine of igla-mreza.
 constexpr std::size_t UploadBytes = 4'100'000;   ///< maxBodyBytes is 4,194,304.
 constexpr double LinkBytesPerSecond = 1'250'000.0;
-constexpr int UsualUploads = 7; ///< Clients that upload at the same time.
+constexpr int UsualUploads = 7;  ///< Clients that upload at the same time.
 constexpr int BurstUploads = 16; ///< The same in the burst: 2.3 times as many.
 constexpr int OrderClients = 8;
 
@@ -40,8 +40,8 @@
             break;
         }
         sleepFor(head.path().starts_with("/stamps/") ? 0.4 : 0.1);
-        if (!sendAll(descriptor, "HTTP/1.1 200 OK\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Server-Seal: seal-" + id
-                         + "\r\nContent-Length: 3\r\n\r\nok\n")) {
+        if (!sendAll(descriptor,
+                     "HTTP/1.1 200 OK\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Server-Seal: seal-" + id + "\r\nContent-Length: 3\r\n\r\nok\n")) {
             break;
         }
     }
@@ -55,7 +55,8 @@
         const std::lock_guard lock(requestsMutex);
         requests[id].client = client;
     }
-    sendAll(descriptor, "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nCarobhall-Request-Id: " + id
+    sendAll(descriptor,
+            "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nCarobhall-Request-Id: " + id
                 + "\r\nCarobhall-Deadline-Ms: 14000\r\nAuthorization: Bearer key-one\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
     const std::string piece(12'500, 'x');
     const double start = seconds();
--- a/review/standins/reset_answer.cpp
+++ b/review/standins/reset_answer.cpp
@@ -40,7 +40,8 @@
             const std::string id = head.field("carobhall-request-id");
             const std::size_t length = std::stoul("0" + head.field("content-length"));
             std::printf("server %s runs %s, which has %zu bytes\n", instance.c_str(), id.c_str(), length);
-            sendAll(descriptor, "HTTP/1.1 200 OK\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Server-Seal: seal-" + id + "\r\nConnection: close\r\n\r\n"
+            sendAll(descriptor,
+                    "HTTP/1.1 200 OK\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Server-Seal: seal-" + id + "\r\nConnection: close\r\n\r\n"
                         + answerLines(id, 1, Lines / 2));
             std::printf("server %s has sent half of its answer to %s\n", instance.c_str(), id.c_str());
             std::fflush(stdout);
@@ -53,8 +54,7 @@
             }
             shutdown(descriptor, SHUT_WR);
             char rest[4096];
-            while (recv(descriptor, rest, sizeof(rest), 0) > 0) {
-            }
+            while (recv(descriptor, rest, sizeof(rest), 0) > 0) { }
             break;
         }
         close(descriptor);
@@ -123,8 +123,9 @@
         const std::string instance = "i-" + std::to_string(++boots);
         const std::string address = freePort("127.0.0.1");
         const std::string log = folder.path() + "/" + instance + ".log";
-        servers.push_back({ instance, log, std::make_unique<Program>(std::vector<std::string>{ "/proc/self/exe", "server", address, instance },
-                                                                     std::map<std::string, std::string>{}, log) });
+        servers.push_back({ instance, log,
+                            std::make_unique<Program>(std::vector<std::string>{ "/proc/self/exe", "server", address, instance },
+                                                      std::map<std::string, std::string>{}, log) });
         sleepFor(0.3);
         store.put("servers", instance, serverJson("kit-desk", address, 6));
     };
--- a/review/standins/slow_client.cpp
+++ b/review/standins/slow_client.cpp
@@ -8,7 +8,7 @@
 {
 
 constexpr std::size_t AnswerBytes = 100'000;
-constexpr int WindowBytes = 16'384;              ///< Receive buffer of a client.
+constexpr int WindowBytes = 16'384;                ///< Receive buffer of a client.
 constexpr double LinkBytesPerSecond = 1'250'000.0; ///< 10 Mbit/s, the slowest link of a machine in the pages.
 constexpr double Grace = 8.0;                      ///< graceS.
 constexpr int Clients = 6;
@@ -26,8 +26,9 @@
         const std::string id = head.field("carobhall-request-id");
         const std::size_t size = head.path().ends_with("/small") ? 100 : AnswerBytes;
         note("server runs %s", id.c_str());
-        if (!sendAll(descriptor, "HTTP/1.1 200 OK\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Server-Seal: seal-" + id + "\r\nContent-Length: "
-                         + std::to_string(size) + "\r\n\r\n" + std::string(size, 'a'))) {
+        if (!sendAll(descriptor,
+                     "HTTP/1.1 200 OK\r\nCarobhall-Request-Id: " + id + "\r\nCarobhall-Server-Seal: seal-" + id + "\r\nContent-Length: " + std::to_string(size)
+                         + "\r\n\r\n" + std::string(size, 'a'))) {
             break;
         }
         note("server has sent its whole answer to %s", id.c_str());
@@ -46,7 +47,8 @@
 Answer request(int descriptor, const std::string &id, const std::string &path)
 {
     Answer result;
-    sendAll(descriptor, "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nCarobhall-Request-Id: " + id
+    sendAll(descriptor,
+            "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nCarobhall-Request-Id: " + id
                 + "\r\nCarobhall-Deadline-Ms: 14000\r\nAuthorization: Bearer key-one\r\nContent-Length: 2\r\n\r\n{}");
     std::string buffer;
     HttpHead head;
@@ -125,8 +127,7 @@
         note("the platform sends SIGTERM to the gateway");
         gateway->signal(SIGTERM);
     }
-    for (const double end = stopAt + Grace; seconds() < end && !gateway->hasEnded(); sleepFor(0.01)) {
-    }
+    for (const double end = stopAt + Grace; seconds() < end && !gateway->hasEnded(); sleepFor(0.01)) { }
     if (hasTrouble()) {
         note(gateway->hasEnded() ? "the gateway has ended %.2f s after SIGTERM" : "the platform sends SIGKILL %.2f s after SIGTERM", seconds() - stopAt);
         gateway->signal(SIGKILL);
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -347,7 +347,8 @@
                 list.clear();
                 for (const Event &event : events_) {
                     if (event.revision > since && event.kind == kind) {
-                        list += (list.empty() ? "" : ",") + std::string(R"({"deleted":)") + (event.deleted ? "true" : "false") + R"(,"object":)" + event.object + "}";
+                        list += (list.empty() ? "" : ",") + std::string(R"({"deleted":)") + (event.deleted ? "true" : "false") + R"(,"object":)" + event.object
+                            + "}";
                     }
                 }
                 return !list.empty();
--- a/review/standins/two_models.cpp
+++ b/review/standins/two_models.cpp
@@ -78,8 +78,8 @@
         std::map<int, int> statuses;
         for (int i = 0; i < count; ++i) {
             const std::string id = path.substr(1, 5) + "-" + std::to_string(++number);
-            const int status = prompt(gateways[static_cast<std::size_t>(i) % gateways.size()], id, path + "x", model, "aa:300,bb:200," + std::to_string(number) + ":400",
-                                      "key-one");
+            const int status = prompt(gateways[static_cast<std::size_t>(i) % gateways.size()], id, path + "x", model,
+                                      "aa:300,bb:200," + std::to_string(number) + ":400", "key-one");
             ++share.sent;
             share.served += status == 200 ? 1 : 0;
             ++statuses[status];
