--- a/review/standins/reset_answer.cpp
+++ b/review/1/reset_answer.cpp
@@ -3,7 +3,7 @@
 //     reset_answer            the case
 //     reset_answer server IP:PORT ID   one server process
 
-#include "standins.h"
+#include "../standins.h"
 
 using namespace Review;
 
--- a/review/standins/isolation.cpp
+++ b/review/4/isolation.cpp
@@ -1,6 +1,6 @@
 // WALL: a tenant becomes isolated; other tenants go on to use the KV cache that its requests have made.
 
-#include "engine.h"
+#include "../engine.h"
 
 using namespace Review;
 
--- a/review/standins/two_models.cpp
+++ b/review/5/two_models.cpp
@@ -1,6 +1,6 @@
 // CONFIG: new weights of one model are named; the servers of another model are not used any more.
 
-#include "engine.h"
+#include "../engine.h"
 
 using namespace Review;
 
