Log responses that end with bytes the caller has not taken

Change: a channel knows how many written bytes its peer has not acknowledged, and the gateway logs response_cut with the reason of the end and counts carobhall_responses_cut_total. Where the system does not tell (SIOCOUTQ), only bytes that the socket has not accepted are seen. No behaviour changes.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -224,6 +224,11 @@
     return writer_.isBusy() || reader_.hasStarted() || (!closed_ && channel_->hasUnreadInput());
 }
 
+std::size_t CallerConnection::undeliveredBytes() const
+{
+    return channel_->undelivered();
+}
+
 bool CallerConnection::hasStartedStream() const
 {
     return writer_.hasStartedStream();
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -71,6 +71,8 @@
     void checkTimeouts(Micros now);
     /// A request is being handled or read, or waits in the socket.
     [[nodiscard]] bool isBusy() const;
+    /// Bytes of responses that the caller has not taken. Once the connection has ended: those that were discarded.
+    [[nodiscard]] std::size_t undeliveredBytes() const;
     [[nodiscard]] bool hasStartedStream() const;
     [[nodiscard]] bool isClosed() const;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -421,6 +421,10 @@
     metrics.count("carobhall_connections_closed_total", "reason=\"" + std::string(nameOf(end)) + "\"");
     idleCloses += end == ConnectionEnd::Idle ? 1 : 0;
     stopCloses += end == ConnectionEnd::Stop ? 1 : 0;
+    if (const std::size_t undelivered = caller.undeliveredBytes(); undelivered > 0) {
+        metrics.count("carobhall_responses_cut_total", "reason=\"" + std::string(nameOf(end)) + "\"");
+        logEvent(LogLevel::Info, "response_cut", { { "reason", end }, { "undelivered_bytes", undelivered } });
+    }
     std::vector<std::shared_ptr<Exchange>> affected;
     for (const std::shared_ptr<Exchange> &exchange : exchanges) {
         if (exchange->caller() == &caller) {
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -61,6 +61,10 @@
     void write(std::string_view data);
     /// Number of queued bytes that the socket has not accepted yet.
     [[nodiscard]] std::size_t unsent() const;
+    /// Number of written bytes that the peer's system has not acknowledged. After the connection has ended: those that were discarded.
+    [[nodiscard]] std::size_t undelivered() const;
+    /// Number of bytes that were written since the connection exists.
+    [[nodiscard]] std::uint64_t written() const;
     /// Whether the socket holds received bytes that have not been read into input() yet.
     [[nodiscard]] bool hasUnreadInput() const;
     /// Reading is on at first. While it is off, bytes stay in the socket and onEnd still reports the end of the connection, which then
@@ -110,7 +114,10 @@
     bool inputWaits_ = false; ///< Reading is off and the socket holds bytes, so that only the end of the connection is polled for.
     unsigned interest_ = 0;   ///< GIOCondition flags that the main loop currently polls for.
     std::optional<ChannelEnd> pendingEnd_;
-    unsigned lingerSource_ = 0; ///< GLib source that aborts a connection whose close() takes too long; 0: none.
+    std::uint64_t written_ = 0;
+    mutable std::uint64_t delivered_ = 0; ///< Of the written bytes, those that are known to be acknowledged.
+    std::size_t discarded_ = 0;           ///< Undelivered bytes at the end of the connection.
+    unsigned lingerSource_ = 0;           ///< GLib source that aborts a connection whose close() takes too long; 0: none.
 };
 
 /// Accepts TCP connections. Not thread-safe.
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -1,13 +1,16 @@
 #include "carobhall/channel.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <charconv>
 #include <fcntl.h>
 #include <glib-unix.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -174,6 +177,30 @@
     return output_.size() - sent_;
 }
 
+std::size_t Channel::undelivered() const
+{
+    if (descriptor_ < 0) {
+        return discarded_;
+    }
+    if (unsent() == 0 && delivered_ == written_) {
+        return 0;
+    }
+    int unacknowledged = 0;
+    // Where the system cannot tell, what the socket has accepted counts as delivered.
+    if (state_ == State::Connecting || ioctl(descriptor_, SIOCOUTQ, &unacknowledged) != 0) {
+        unacknowledged = 0;
+    }
+    // The end of the stream takes one place in the queue behind the data.
+    const std::uint64_t waiting = std::min<std::uint64_t>(unsent() + static_cast<std::size_t>(std::max(0, unacknowledged)), written_);
+    delivered_ = written_ - waiting;
+    return waiting;
+}
+
+std::uint64_t Channel::written() const
+{
+    return written_;
+}
+
 bool Channel::hasUnreadInput() const
 {
     char byte = 0;
@@ -209,6 +236,7 @@
         return;
     }
     output_.append(data);
+    written_ += data.size();
     if (state_ == State::Open) {
         sendQueued();
     }
@@ -400,6 +428,7 @@
         source_ = nullptr;
     }
     if (descriptor_ >= 0) {
+        discarded_ = undelivered();
         ::close(descriptor_);
         descriptor_ = -1;
     }
