Log a response that announces the close as what it was

What operators saw: each response with Connection: close, so every one after SIGTERM, was logged as caller_left with status 0. Cause: the end of the connection was reported to the exchange before it had noted its own end, and the exchange took it for a caller that left. Change: only an end by the caller is passed on. Test: platform_slow_caller_test, real program; failed before, passes now.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -425,13 +425,17 @@
         metrics.count("carobhall_responses_cut_total", "reason=\"" + std::string(nameOf(end)) + "\"");
         logEvent(LogLevel::Info, "response_cut", { { "reason", end }, { "undelivered_bytes", undelivered } });
     }
+    callers.erase(caller.shared_from_this());
+    if (end != ConnectionEnd::CallerLeft) {
+        // The exchange has ended the connection with its response.
+        return;
+    }
     std::vector<std::shared_ptr<Exchange>> affected;
     for (const std::shared_ptr<Exchange> &exchange : exchanges) {
         if (exchange->caller() == &caller) {
             affected.push_back(exchange);
         }
     }
-    callers.erase(caller.shared_from_this());
     for (const std::shared_ptr<Exchange> &exchange : affected) {
         exchange->onCallerDisconnected();
     }
