Deliver the last response before a connection ends

Cause: a response counted as delivered once it was queued. The gateway dropped its connection at that point, and the destructor reset the lingering channel; a channel that was left alone got 1.5 s for whatever it had queued, and stopped when the peer had nothing more to send.

Change: a closed channel ends when its peer has taken all bytes, or has taken none for the stall limit (15 s); only then the 1.5 s for the peer's own close begin. The gateway keeps closed connections until then and logs those that were cut. DeliveryWatch decides without I/O who is slow and who has stopped.

Ruled out: a reset after the 1.5 s, as before. A peer that has all data and does not close gets an orderly end, because a reset may discard what it has not read.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -26,7 +26,7 @@
 
 CallerConnection::~CallerConnection()
 {
-    if (channel_) {
+    if (channel_ && !closed_) {
         channel_->abort();
     }
 }
@@ -224,6 +224,16 @@
     return writer_.isBusy() || reader_.hasStarted() || (!closed_ && channel_->hasUnreadInput());
 }
 
+ConnectionEnd CallerConnection::end() const
+{
+    return end_;
+}
+
+bool CallerConnection::isEnded() const
+{
+    return closed_ && channel_->isEnded();
+}
+
 std::size_t CallerConnection::undeliveredBytes() const
 {
     return channel_->undelivered();
@@ -244,6 +254,7 @@
     if (std::exchange(closed_, true)) {
         return;
     }
+    end_ = end;
     const std::shared_ptr<CallerConnection> self = shared_from_this();
     options_.onClosed(*this, end);
 }
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -71,6 +71,10 @@
     void checkTimeouts(Micros now);
     /// A request is being handled or read, or waits in the socket.
     [[nodiscard]] bool isBusy() const;
+    /// Why the connection was closed. Precondition: isClosed().
+    [[nodiscard]] ConnectionEnd end() const;
+    /// The connection is closed, and its last bytes have been taken by the caller or were discarded.
+    [[nodiscard]] bool isEnded() const;
     /// Bytes of responses that the caller has not taken. Once the connection has ended: those that were discarded.
     [[nodiscard]] std::size_t undeliveredBytes() const;
     [[nodiscard]] bool hasStartedStream() const;
@@ -91,6 +95,7 @@
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
     Micros lastBytesAt_ = 0;
+    ConnectionEnd end_ = ConnectionEnd::CallerLeft;
     ResponseWriter writer_;
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
     bool closed_ = false;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -64,6 +64,8 @@
     void onAccept(int descriptor);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
     void onCallerClosed(CallerConnection &caller, ConnectionEnd end);
+    /// Forgets the closed connections that have ended, and logs those whose callers did not get all bytes.
+    void removeEnded();
     /// Logs the idle connections that were closed since the last call, in one line.
     void reportIdleCloses(Micros now);
     /// Takes \p spec into use if it is newer than what is held. \p stamp: what the source tells of it; the version is that of the spec.
@@ -107,6 +109,7 @@
     ObjectRef<SoupServer> readiness;
     std::unique_ptr<AdminListener> admin;
     std::unordered_set<std::shared_ptr<CallerConnection>> callers;
+    std::unordered_set<std::shared_ptr<CallerConnection>> closing; ///< Closed connections whose last bytes are in transit.
     std::unordered_set<std::shared_ptr<Exchange>> exchanges;
     std::unique_ptr<ObjectWatcher> configWatcher;
     std::unique_ptr<ObjectWatcher> upstreamWatcher;
@@ -290,6 +293,7 @@
     for (const std::shared_ptr<CallerConnection> &caller : all) {
         caller->checkTimeouts(now);
     }
+    removeEnded();
     reportIdleCloses(now);
     if (const bool reachable = options.platform->available(); reachable != platformReachable) {
         platformReachable = reachable;
@@ -416,15 +420,26 @@
     }
 }
 
+void Gateway::Impl::removeEnded()
+{
+    std::erase_if(closing, [this](const std::shared_ptr<CallerConnection> &caller) {
+        if (!caller->isEnded()) {
+            return false;
+        }
+        if (const std::size_t undelivered = caller->undeliveredBytes(); undelivered > 0) {
+            metrics.count("carobhall_responses_cut_total", "reason=\"" + std::string(nameOf(caller->end())) + "\"");
+            logEvent(LogLevel::Info, "response_cut", { { "reason", caller->end() }, { "undelivered_bytes", undelivered } });
+        }
+        return true;
+    });
+}
+
 void Gateway::Impl::onCallerClosed(CallerConnection &caller, ConnectionEnd end)
 {
     metrics.count("carobhall_connections_closed_total", "reason=\"" + std::string(nameOf(end)) + "\"");
     idleCloses += end == ConnectionEnd::Idle ? 1 : 0;
     stopCloses += end == ConnectionEnd::Stop ? 1 : 0;
-    if (const std::size_t undelivered = caller.undeliveredBytes(); undelivered > 0) {
-        metrics.count("carobhall_responses_cut_total", "reason=\"" + std::string(nameOf(end)) + "\"");
-        logEvent(LogLevel::Info, "response_cut", { { "reason", end }, { "undelivered_bytes", undelivered } });
-    }
+    closing.insert(caller.shared_from_this());
     callers.erase(caller.shared_from_this());
     if (end != ConnectionEnd::CallerLeft) {
         // The exchange has ended the connection with its response.
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -9,6 +9,7 @@
 // never invoked from within a call to the same object.
 
 #include "carobhall/base.h"
+#include "carobhall/delivery_watch.h"
 
 #include <functional>
 
@@ -38,9 +39,10 @@
     Micros unackedTimeout = 0;                            ///< Resets the connection if sent data stays unacknowledged for this long; 0: system default.
     std::size_t maxInputBytes = std::size_t{ 6 } << 20U;  ///< Reading pauses while input() holds at least this many bytes.
     std::size_t maxOutputBytes = std::size_t{ 8 } << 20U; ///< More unsent bytes than this abort the connection, without onEnd.
+    Micros stallLimit = 15 * MicrosPerSecond;             ///< After close(): resets the connection if the peer takes no bytes for this long.
 };
 
-/// One TCP connection, owned through shared_ptr. Destroying it resets the connection.
+/// One TCP connection, owned through shared_ptr. Destroying it resets the connection, unless close() was called.
 class Channel : public std::enable_shared_from_this<Channel>
 {
 public:
@@ -79,7 +81,8 @@
     /// Whether the connection has ended and its socket is released.
     [[nodiscard]] bool isEnded() const;
     /// Sends the queued data, then closes the connection normally. Reads and discards input until the peer closes it too, unless reading
-    /// is off. No further callbacks are invoked.
+    /// is off. No further callbacks are invoked. The channel stays alive until then, and ends by itself when the peer takes no data for
+    /// the stall limit or does not close its side in time.
     void close();
     /// Closes the connection normally without reading any further. Bytes that the peer has sent and that were not read are reset, which
     /// tells it that they were not processed. Sends the queued data first, like close(). No further callbacks are invoked.
@@ -100,8 +103,11 @@
     /// Looks for the end of the connection without reading.
     void checkEnd(unsigned condition);
     void sendQueued();
+    void onPeerFinished();
     void end(ChannelEnd reason);
     void release();
+    /// Ends the connection after close() once the peer has all data or takes no more of it.
+    void checkLinger();
 
     int descriptor_ = -1;
     State state_ = State::Open;
@@ -117,7 +123,9 @@
     std::uint64_t written_ = 0;
     mutable std::uint64_t delivered_ = 0; ///< Of the written bytes, those that are known to be acknowledged.
     std::size_t discarded_ = 0;           ///< Undelivered bytes at the end of the connection.
-    unsigned lingerSource_ = 0;           ///< GLib source that aborts a connection whose close() takes too long; 0: none.
+    DeliveryWatch delivery_;              ///< After close().
+    bool peerFinished_ = false;           ///< The peer sends nothing more, but may still read.
+    unsigned lingerSource_ = 0;           ///< GLib source that calls checkLinger() after close(); 0: none.
 };
 
 /// Accepts TCP connections. Not thread-safe.
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -23,7 +23,8 @@
 
 constexpr std::size_t ReadBufferBytes = std::size_t{ 64 } << 10U; ///< Large enough to receive a request of the usual size in one read.
 constexpr int ListenBacklog = 1024;                               ///< Pending connections; covers a burst from the clients of one zone.
-constexpr unsigned LingerTimeoutMs = 1500;                        ///< Time that a connection gets after close() to deliver its remaining data.
+constexpr Micros LingerTimeout = 1500 * MicrosPerMilli;           ///< Time that the peer gets to close its side after it has all data.
+constexpr unsigned LingerCheckMs = 100;                           ///< Interval of checkLinger().
 
 // TCP keep-alive detects a peer that disappeared without a reset. The resulting 3 s are below the time in which configuration
 // changes and draining must be known.
@@ -151,8 +152,15 @@
     if (source_ == nullptr || state_ == State::Connecting) {
         return;
     }
-    const bool wantsInput = !pendingEnd_ && (state_ == State::Closing || input_.size() < options_.maxInputBytes);
-    const unsigned inputEvent = inputWaits_ ? PeerFinishedEvent : wantsInput ? unsigned{ G_IO_IN } : 0U;
+    if (peerFinished_ && unsent() == 0) {
+        // Both directions are shut down, which poll() reports for as long as the socket is open. checkLinger() sees the end.
+        if (gpointer const tag = std::exchange(source_->tag, nullptr)) {
+            g_source_remove_unix_fd(&source_->base, tag);
+        }
+        return;
+    }
+    const bool wantsInput = !pendingEnd_ && !peerFinished_ && (state_ == State::Closing || input_.size() < options_.maxInputBytes);
+    const unsigned inputEvent = inputWaits_ && !peerFinished_ ? PeerFinishedEvent : wantsInput ? unsigned{ G_IO_IN } : 0U;
     const unsigned events = inputEvent | (unsent() > 0 ? unsigned{ G_IO_OUT } : 0U);
     if (events != interest_) {
         interest_ = events;
@@ -299,14 +307,14 @@
 
 void Channel::checkEnd(unsigned condition)
 {
-    if ((condition & (G_IO_HUP | G_IO_ERR)) != 0) {
+    if ((condition & G_IO_ERR) != 0 || ((condition & G_IO_HUP) != 0 && state_ != State::Closing)) {
         end(ChannelEnd::Reset);
         return;
     }
     char byte = 0;
     const ssize_t count = recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
     if (count == 0 || (condition & PeerFinishedEvent) != 0) {
-        end(ChannelEnd::PeerFinished);
+        onPeerFinished();
     } else if (count > 0) {
         inputWaits_ = true;
         updateInterest();
@@ -340,8 +348,12 @@
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
         return;
     }
-    if (count <= 0) {
-        end(count == 0 ? ChannelEnd::PeerFinished : ChannelEnd::Reset);
+    if (count == 0) {
+        onPeerFinished();
+        return;
+    }
+    if (count < 0) {
+        end(ChannelEnd::Reset);
         return;
     }
     if (state_ == State::Closing) {
@@ -355,6 +367,17 @@
     }
 }
 
+void Channel::onPeerFinished()
+{
+    if (state_ == State::Closing && undelivered() > 0) {
+        // A peer that sends nothing more may still read the rest.
+        peerFinished_ = true;
+        updateInterest();
+        return;
+    }
+    end(ChannelEnd::PeerFinished);
+}
+
 void Channel::end(ChannelEnd reason)
 {
     const bool closedLocally = state_ == State::Closing;
@@ -383,20 +406,34 @@
     // input sends a reset, which can discard the last response before the peer has read it.
     auto *const self = new std::shared_ptr<Channel>(shared_from_this());
     lingerSource_ = g_timeout_add_full(
-        G_PRIORITY_DEFAULT, LingerTimeoutMs,
+        G_PRIORITY_DEFAULT, LingerCheckMs,
         [](gpointer data) -> gboolean {
-            const auto &channel = *static_cast<std::shared_ptr<Channel> *>(data);
-            channel->lingerSource_ = 0;
-            channel->abort();
-            return G_SOURCE_REMOVE;
+            // Ending the connection removes this source and its reference to the channel.
+            const std::shared_ptr<Channel> channel = *static_cast<std::shared_ptr<Channel> *>(data);
+            channel->checkLinger();
+            return G_SOURCE_CONTINUE;
         },
         self, [](gpointer data) { delete static_cast<std::shared_ptr<Channel> *>(data); });
     sendQueued();
+    delivery_.note({ .written = written_, .undelivered = undelivered() }, monotonicNow());
+}
+
+void Channel::checkLinger()
+{
+    const Micros now = monotonicNow();
+    delivery_.note({ .written = written_, .undelivered = undelivered() }, now);
+    char byte = 0;
+    const bool failed = peerFinished_ && recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN && errno != EINTR;
+    if (failed || delivery_.isStalled(options_.stallLimit, now)) {
+        abort();
+    } else if (delivery_.isDelivered() && (peerFinished_ || delivery_.timeWithoutProgress(now) > LingerTimeout)) {
+        end(ChannelEnd::PeerFinished);
+    }
 }
 
 void Channel::closeUnread()
 {
-    if (state_ != State::Open || unsent() > 0) {
+    if (state_ != State::Open || undelivered() > 0) {
         setReading(false);
         close();
         return;
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -5,6 +5,8 @@
 #include "carobhall/http_message.h"
 
 #include <glib.h>
+#include <netinet/in.h>
+#include <random>
 #include <rapidcheck.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -245,3 +247,151 @@
         ::close(sockets[1]);
     }
 }
+
+namespace
+{
+
+/// A channel whose peer is a plain socket with a small receive window, which the test reads by hand.
+struct SlowPeer {
+    explicit SlowPeer(ChannelOptions options = {})
+        : listener([this, options](int accepted) { channel = Channel::adopt(accepted, options); })
+        , descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+        const int window = 8 << 10;
+        BOOST_REQUIRE(setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window)) == 0);
+        sockaddr_in target{};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(listener.port());
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) == 0);
+        BOOST_REQUIRE(iterateUntil([this] { return channel != nullptr; }));
+    }
+    ~SlowPeer()
+    {
+        ::close(descriptor);
+    }
+    SlowPeer(const SlowPeer &) = delete;
+    SlowPeer &operator=(const SlowPeer &) = delete;
+
+    /// Reads at most \p count bytes. Returns whether the connection goes on.
+    bool read(std::size_t count)
+    {
+        std::string buffer(count, '\0');
+        const ssize_t size = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        received += static_cast<std::size_t>(std::max<ssize_t>(0, size));
+        wasReset = wasReset || (size < 0 && errno == ECONNRESET);
+        return size > 0 || (size < 0 && errno == EAGAIN);
+    }
+
+    ChannelListener listener;
+    std::shared_ptr<Channel> channel;
+    int descriptor = -1;
+    std::size_t received = 0;
+    bool wasReset = false;
+};
+
+} // namespace
+
+// Guards against a close that gives a slow peer a fixed time for the rest of its data, or none if the owner drops the channel, or drops the
+// rest when the peer has nothing more to send.
+BOOST_AUTO_TEST_CASE(aCloseDeliversAllDataToASlowPeer)
+{
+    for (const bool peerFinishes : { false, true }) {
+        SlowPeer peer;
+        const std::string data(std::size_t{ 8 } << 20U, 'x');
+        peer.channel->write(data);
+        BOOST_TEST(peer.channel->undelivered() > 0U);
+        const std::weak_ptr<Channel> channel = peer.channel;
+        peer.channel->close();
+        peer.channel.reset();
+        if (peerFinishes) {
+            (void)shutdown(peer.descriptor, SHUT_WR);
+        }
+        const Micros begun = monotonicNow();
+        // Reads 4 KB a millisecond, so that the data takes longer than the peer gets to close its side.
+        while (peer.read(std::size_t{ 4 } << 10U) && monotonicNow() - begun < 10 * MicrosPerSecond) {
+            g_main_context_iteration(nullptr, FALSE);
+            g_usleep(MicrosPerMilli);
+        }
+        BOOST_TEST(monotonicNow() - begun > 1'500 * MicrosPerMilli);
+        BOOST_TEST(peer.received == data.size());
+        BOOST_TEST(!peer.wasReset);
+        (void)shutdown(peer.descriptor, SHUT_WR);
+        BOOST_TEST(iterateUntil([&] { return channel.expired(); }));
+    }
+}
+
+// Guards against a closed connection that is kept for ever because its peer has all data but does not close its side.
+BOOST_AUTO_TEST_CASE(aCloseEndsWhenThePeerDoesNotClose)
+{
+    SlowPeer peer;
+    peer.channel->write("last");
+    const std::weak_ptr<Channel> channel = peer.channel;
+    peer.channel->close();
+    peer.channel.reset();
+    BOOST_TEST(iterateUntil([&] { return channel.expired(); }));
+    (void)peer.read(100);
+    BOOST_TEST(peer.received == 4U);
+    BOOST_TEST(!peer.read(100));
+    BOOST_TEST(!peer.wasReset);
+}
+
+// Guards against a closed connection that is kept for ever because its peer reads nothing, also when the peer has nothing more to send.
+BOOST_AUTO_TEST_CASE(aCloseEndsWhenThePeerTakesNothing)
+{
+    for (const bool peerFinishes : { false, true }) {
+        SlowPeer peer({ .stallLimit = 300 * MicrosPerMilli });
+        peer.channel->write(std::string(std::size_t{ 8 } << 20U, 'x'));
+        const std::shared_ptr<Channel> channel = peer.channel;
+        channel->close();
+        if (peerFinishes) {
+            (void)shutdown(peer.descriptor, SHUT_WR);
+        }
+        const Micros begun = monotonicNow();
+        BOOST_TEST(iterateUntil([&] { return channel->isEnded(); }));
+        BOOST_TEST(monotonicNow() - begun > 250 * MicrosPerMilli);
+        BOOST_TEST(channel->undelivered() > 0U);
+    }
+}
+
+// Guards against a peer that reads slowly and is taken for one that has stopped, and against one that has stopped and is never given up: random
+// sizes, pauses and rates, while more is written.
+BOOST_AUTO_TEST_CASE(onlyAPeerThatTakesNothingIsStalled)
+{
+    constexpr Micros Limit = MicrosPerSecond;
+    constexpr Micros Step = 50 * MicrosPerMilli;
+    unsigned stalls = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        std::mt19937_64 random(seed);
+        DeliveryWatch watch;
+        DeliveryState state;
+        Micros waitingSince = 0; ///< The peer last took bytes, or bytes began to wait for it.
+        Micros nextRead = 0;
+        for (Micros now = 0; now < 60 * MicrosPerSecond; now += Step) {
+            if (state.undelivered == 0) {
+                waitingSince = now;
+            }
+            if (random() % 10 == 0) {
+                const std::size_t bytes = random() % 100'000;
+                state.written += bytes;
+                state.undelivered += bytes;
+            }
+            if (now >= nextRead && state.undelivered > 0) {
+                state.undelivered -= std::min<std::size_t>(state.undelivered, 1 + random() % 5'000);
+                waitingSince = now;
+                nextRead = now + static_cast<Micros>(random() % static_cast<std::uint64_t>(random() % 8 == 0 ? 3 * Limit : Limit / 2));
+            }
+            watch.note(state, now);
+            BOOST_REQUIRE(watch.isDelivered() == (state.undelivered == 0));
+            const Micros waited = state.undelivered > 0 ? now - waitingSince : 0;
+            if (waited <= Limit) {
+                BOOST_REQUIRE(!watch.isStalled(Limit, now));
+            } else if (waited > Limit + Step) {
+                BOOST_REQUIRE(watch.isStalled(Limit, now));
+                ++stalls;
+            }
+        }
+    }
+    BOOST_TEST(stalls > 0U);
+}
