Count a connection as idle only after its caller has taken the response

What callers saw: beside a change of the configuration that lowers the idle limit, each caller that was still reading a response got a part of it and a reset, 3 s after the change; the request had been read whole, run and logged as served.

Cause: the idle time began when the response was queued. A lowered limit made all connections with responses in transit idle at once, and closing one with unsent bytes reset it.

Change: while bytes of a response wait for its caller, the connection is not idle. A caller that takes none of them for 15 s has stopped reading: it is reset and counted as stalled.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -10,6 +10,9 @@
 
 /// Retry-After, in seconds, of a request that was read in part when the process ends. New connections reach another process at once.
 constexpr std::string_view RetryAfterStop = "0.150";
+/// A caller that takes no bytes of its response for this long has stopped reading. Shorter pauses are usual for callers that read slowly
+/// through a small window.
+constexpr Micros StallLimit = 15 * MicrosPerSecond;
 
 ReaderLimits readerLimits(const CallerLimits &limits)
 {
@@ -42,7 +45,8 @@
                                         readRequests();
                                     },
                                 .onEnd = [this](ChannelEnd) { close(ConnectionEnd::CallerLeft); },
-                                .maxInputBytes = static_cast<std::size_t>(options_.limits->forRequest(now).maxBodyBytes) + (std::size_t{ 1 } << 20U) });
+                                .maxInputBytes = static_cast<std::size_t>(options_.limits->forRequest(now).maxBodyBytes) + (std::size_t{ 1 } << 20U),
+                                .stallLimit = StallLimit });
 }
 
 void CallerConnection::readRequests()
@@ -202,10 +206,23 @@
 
 void CallerConnection::checkTimeouts(Micros now)
 {
-    if (writer_.isBusy() || closed_) {
+    if (closed_) {
+        return;
+    }
+    delivery_.note({ .written = channel_->written(), .undelivered = channel_->undelivered() }, now);
+    if (delivery_.isStalled(StallLimit, now)) {
+        channel_->abort();
+        close(ConnectionEnd::Stalled);
+        return;
+    }
+    if (writer_.isBusy()) {
         return;
     }
     if (!reader_.hasStarted()) {
+        if (!delivery_.isDelivered()) {
+            waitingSince_ = now;
+            return;
+        }
         // A request that waits in the socket is served. One that crosses the close is reset unread, so that the caller may send it again.
         if (now - waitingSince_ > options_.limits->idleTimeout(now) && !channel_->hasUnreadInput()) {
             channel_->closeUnread();
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -20,13 +20,14 @@
     Stop,       ///< The process stops, and no request was in progress.
     Complete,   ///< The response was announced as the last one.
     Truncated,  ///< A started response could not be completed.
+    Stalled,    ///< The caller took no bytes of its response for the stall limit.
 };
 
 template<>
 struct EnumNames<ConnectionEnd> {
     static constexpr std::array rows{
         EnumName{ ConnectionEnd::CallerLeft, "caller-left" }, EnumName{ ConnectionEnd::Idle, "idle" },           EnumName{ ConnectionEnd::Stop, "stop" },
-        EnumName{ ConnectionEnd::Complete, "complete" },      EnumName{ ConnectionEnd::Truncated, "truncated" },
+        EnumName{ ConnectionEnd::Complete, "complete" },      EnumName{ ConnectionEnd::Truncated, "truncated" }, EnumName{ ConnectionEnd::Stalled, "stalled" },
     };
 };
 
@@ -67,7 +68,8 @@
     void readWaiting();
     /// Closes the connection if no request awaits its response. A request that has been read in part is refused.
     void endForShutdown();
-    /// Enforces the idle and read timeouts of CallerLimits.
+    /// Enforces the idle and read timeouts of CallerLimits, and the stall limit. A connection is not idle before its caller has taken the
+    /// last response.
     void checkTimeouts(Micros now);
     /// A request is being handled or read, or waits in the socket.
     [[nodiscard]] bool isBusy() const;
@@ -95,6 +97,7 @@
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
     Micros lastBytesAt_ = 0;
+    DeliveryWatch delivery_;
     ConnectionEnd end_ = ConnectionEnd::CallerLeft;
     ResponseWriter writer_;
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -441,7 +441,7 @@
     stopCloses += end == ConnectionEnd::Stop ? 1 : 0;
     closing.insert(caller.shared_from_this());
     callers.erase(caller.shared_from_this());
-    if (end != ConnectionEnd::CallerLeft) {
+    if (end != ConnectionEnd::CallerLeft && end != ConnectionEnd::Stalled) {
         // The exchange has ended the connection with its response.
         return;
     }
