Wait in a stop until callers have taken their responses

What callers saw: requests that were accepted before or soon after SIGTERM and answered by their server were cut 3.1 s after SIGTERM, although 8 s of grace are given. Cause: a stop looked for requests under way and not for bytes in transit, and the process ended 100 ms after it had closed its connections. Change: unsent and unacknowledged bytes count as busy, the listener stays open meanwhile, and after the connections are closed the process waits until their last bytes are taken, up to 150 ms before the end of the grace time. The log line ended says what was still in transit.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -238,7 +238,10 @@
 
 bool CallerConnection::isBusy() const
 {
-    return writer_.isBusy() || reader_.hasStarted() || (!closed_ && channel_->hasUnreadInput());
+    if (closed_) {
+        return !isEnded() && channel_->undelivered() > 0;
+    }
+    return writer_.isBusy() || reader_.hasStarted() || channel_->undelivered() > 0 || channel_->hasUnreadInput();
 }
 
 ConnectionEnd CallerConnection::end() const
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -71,7 +71,7 @@
     /// Enforces the idle and read timeouts of CallerLimits, and the stall limit. A connection is not idle before its caller has taken the
     /// last response.
     void checkTimeouts(Micros now);
-    /// A request is being handled or read, or waits in the socket.
+    /// A request is being handled or read, or waits in the socket, or the caller has not taken all bytes of its response.
     [[nodiscard]] bool isBusy() const;
     /// Why the connection was closed. Precondition: isClosed().
     [[nodiscard]] ConnectionEnd end() const;
@@ -96,9 +96,9 @@
     CallerLimits requestLimits_{}; ///< Of the request that is being read.
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
-    Micros lastBytesAt_ = 0;
     DeliveryWatch delivery_;
     ConnectionEnd end_ = ConnectionEnd::CallerLeft;
+    Micros lastBytesAt_ = 0;
     ResponseWriter writer_;
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
     bool closed_ = false;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -36,6 +36,8 @@
 constexpr Micros AcceptTimeAfterStop = 3 * MicrosPerSecond;
 /// Time reserved at the end of the grace period for sending the last responses, before the process is killed.
 constexpr Micros FinalFlushTime = 700 * MicrosPerMilli;
+/// Time reserved at the end of the grace period for ending the process.
+constexpr Micros ExitTime = 150 * MicrosPerMilli;
 /// How long new streams are accepted after SIGTERM. A stream may outlast the grace period and is then truncated. The platform
 /// tolerates this for streams that begin up to three seconds after SIGTERM; half a second is left for requests in transit.
 constexpr Micros AcceptStreamsTime = 2500 * MicrosPerMilli;
@@ -61,6 +63,8 @@
     void beginShutdown();
     void tick();
     void checkStop(Micros now);
+    /// \p elapsed: time since the beginning of the shutdown.
+    void endProcess(Micros elapsed);
     void onAccept(int descriptor);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
     void onCallerClosed(CallerConnection &caller, ConnectionEnd end);
@@ -125,7 +129,8 @@
     std::uint64_t stopCloses = 0;
     Micros stoppingSince = 0;
     bool listenerStopped = false;
-    bool stopped = false;
+    bool stopped = false; ///< All connections were closed; their last bytes may be in transit.
+    bool ended = false;   ///< onStopped was called.
     bool platformReachable = true;
     bool wasReady = false;
 };
@@ -336,16 +341,24 @@
 
 void Gateway::Impl::checkStop(Micros now)
 {
-    if (stoppingSince == 0 || stopped) {
+    if (stoppingSince == 0 || ended) {
         return;
     }
     const Micros elapsed = now - stoppingSince;
+    const auto isBusy = [](const auto &caller) { return caller->isBusy(); };
+    const bool inTransit = std::ranges::any_of(closing, isBusy);
+    if (stopped) {
+        if (!inTransit || elapsed > options.settings.stopGrace - ExitTime) {
+            endProcess(elapsed);
+        }
+        return;
+    }
     const bool graceExpiring = elapsed > options.settings.stopGrace - FinalFlushTime;
     if (elapsed < AcceptTimeAfterStop || (!exchanges.empty() && !graceExpiring)) {
         return;
     }
-    const bool allIdle = std::ranges::none_of(callers, [](const auto &caller) { return caller->isBusy(); });
-    if (!allIdle && !graceExpiring) {
+    const bool isIdle = !inTransit && std::ranges::none_of(callers, isBusy);
+    if (!isIdle && !graceExpiring) {
         return;
     }
     if (!std::exchange(listenerStopped, true)) {
@@ -371,8 +384,19 @@
     }
     logEvent(LogLevel::Info, "stopped",
              { { "requests_cut", unfinished.size() }, { "idle_connections_closed", stopCloses }, { "after_ms", elapsed / MicrosPerMilli } });
-    // Further iterations of the main loop send the remaining output of the closed connections.
-    ticker.startOnce(100 * MicrosPerMilli, [this] { options.onStopped(); });
+    // The following ticks wait until the last bytes of the closed connections have been taken.
+}
+
+void Gateway::Impl::endProcess(Micros elapsed)
+{
+    ended = true;
+    std::size_t undelivered = 0;
+    for (const std::shared_ptr<CallerConnection> &caller : closing) {
+        undelivered += caller->undeliveredBytes();
+    }
+    logEvent(LogLevel::Info, "ended",
+             { { "responses_in_transit", closing.size() }, { "undelivered_bytes", undelivered }, { "after_ms", elapsed / MicrosPerMilli } });
+    options.onStopped();
 }
 
 void Gateway::Impl::onAccept(int descriptor)
