Report a reset that an error of a send has taken from the socket

Cause: send() returned the error of the socket and it was dropped; the read that followed saw a normal end, and a response that ends with its connection was taken for complete. Change: after a failed send the end of the connection is a reset, once the data that arrived before it has been read.

--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -124,6 +124,7 @@
     mutable std::uint64_t delivered_ = 0; ///< Of the written bytes, those that are known to be acknowledged.
     std::size_t discarded_ = 0;           ///< Undelivered bytes at the end of the connection.
     DeliveryWatch delivery_;              ///< After close().
+    bool sendFailed_ = false;             ///< The connection was reset while bytes were being sent.
     bool peerFinished_ = false;           ///< The peer sends nothing more, but may still read.
     unsigned lingerSource_ = 0;           ///< GLib source that calls checkLinger() after close(); 0: none.
 };
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -264,7 +264,9 @@
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
             break;
         }
-        // The error is reported by readAll() in the next main loop iteration, after any data that the peer sent before it.
+        // The error is reported by readAll() in the next main loop iteration, after any data that the peer sent before it. This call has taken it
+        // from the socket, which looks like a normal end afterwards.
+        sendFailed_ = true;
         sent_ = output_.size();
     }
     if (unsent() == 0) {
@@ -369,6 +371,10 @@
 
 void Channel::onPeerFinished()
 {
+    if (sendFailed_) {
+        end(ChannelEnd::Reset);
+        return;
+    }
     if (state_ == State::Closing && undelivered() > 0) {
         // A peer that sends nothing more may still read the rest.
         peerFinished_ = true;
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -322,6 +322,27 @@
     }
 }
 
+// Guards against a reset that looks like a normal end because an error of a send took it from the socket: the peer answers, stops reading and resets
+// the connection while bytes wait to be sent.
+BOOST_AUTO_TEST_CASE(aResetWhileBytesWaitIsNotANormalEnd)
+{
+    for (const bool answers : { true, false }) {
+        ConnectedPair channels;
+        channels.accepted->setReading(false);
+        channels.dialled->write(std::string(std::size_t{ 7 } << 20U, 'x'));
+        if (answers) {
+            channels.accepted->write("half");
+        }
+        for (int i = 0; i < 20; ++i) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+        BOOST_TEST(channels.dialled->unsent() > 0U);
+        channels.accepted->abort();
+        BOOST_TEST(iterateUntil([&] { return channels.dialledEnd.has_value(); }));
+        BOOST_TEST((channels.dialledEnd == ChannelEnd::Reset));
+    }
+}
+
 // Guards against a closed connection that is kept for ever because its peer has all data but does not close its side.
 BOOST_AUTO_TEST_CASE(aCloseEndsWhenThePeerDoesNotClose)
 {
--- a/review/1/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" 1 reset_answer
