Take no reply that is cut in its head for an empty one

Cause: libsoup takes a head that ends with the connection behind any of its lines for a whole one. The field that frames the body is missing then, so that a reply of the store or of a model server becomes a success with an empty body.

Change: a reply without a body, and without a Content-Length that says so, has lost its connection, unless its status has none.

--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Whether a reply without a body may have been cut in its head: libsoup takes a head that ends with the connection behind any of its lines
+    /// for a whole one. The field that frames the body may be missing then, or the body itself.
+    static bool mayBeCutInHead(SoupMessage *message)
+    {
+        const auto status = static_cast<unsigned>(soup_message_get_status(message));
+        const bool hasNoBody = status == SOUP_STATUS_NO_CONTENT || status == SOUP_STATUS_NOT_MODIFIED
+            || std::string_view(soup_message_get_method(message)) == "HEAD";
+        return !hasNoBody && soup_message_headers_get_encoding(soup_message_get_response_headers(message)) != SOUP_ENCODING_CONTENT_LENGTH;
+    }
+
     void complete(std::uint64_t callId, HttpReply reply)
     {
         const auto found = pendingCalls.find(callId);
@@ -136,6 +146,8 @@
         pendingCall->timer.stop();
         if (pendingCall->timedOut) {
             reply.error = Errc::Timeout;
+        } else if (!reply.error && reply.body.empty() && mayBeCutInHead(pendingCall->message.get())) {
+            reply.error = Errc::ConnectionLost;
         } else if (!reply.error) {
             reply.status = soup_message_get_status(pendingCall->message.get());
             SoupMessageHeadersIter iterator;
