Refuse in a stop what cannot be finished before its end

Cause: requests that are not streams were taken for 0.55 of the grace time, whatever their deadline.

Change: ShutdownAdmission decides. Each request is taken for 2.5 s, or half of a shorter grace time; from then on only one whose deadline ends before the stop cuts what is unfinished. The others get 503 with Retry-After at once and reach no server. The rule is the same for streams, so that a late one with a short deadline is now taken.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -85,7 +85,12 @@
             return;
         }
     }
-    if (options_.refuseRequest || (options_.refuseIfStreaming && route_->kind == RequestKind::Streaming)) {
+    Micros timeout = route_->timeout > 0 ? route_->timeout : 60 * MicrosPerSecond;
+    if (request_.timeout) {
+        timeout = std::min(timeout, *request_.timeout);
+    }
+    deadline_ = now + timeout;
+    if (!options_.context->admission->admits(deadline_, now)) {
         refuse(503, "stopping", RetryAfterRejected);
         return;
     }
@@ -99,11 +104,6 @@
         return;
     }
     options_.context->retries->noteRequest(service_->name, now);
-    Micros timeout = route_->timeout > 0 ? route_->timeout : 60 * MicrosPerSecond;
-    if (request_.timeout) {
-        timeout = std::min(timeout, *request_.timeout);
-    }
-    deadline_ = now + timeout;
     handover_ = AttemptHandover(route_->maxAttempts);
     lastEventId_ = request_.resumeAfter;
     deadlineTimer_.startOnce(timeout, [this] { onDeadline(); });
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -9,6 +9,7 @@
 #include "carobhall/event_stream.h"
 #include "carobhall/poison_request_detector.h"
 #include "carobhall/retry_budget.h"
+#include "carobhall/shutdown_admission.h"
 
 namespace Carobhall
 {
@@ -23,6 +24,7 @@
     const ExchangeCodec *codec = nullptr;
     std::function<void(Upstream &)> onPrefillQueued{};           ///< A prompt was sent to a model server and awaits prefill.
     std::function<void(const UpstreamRef &)> onConnectionLost{}; ///< A connection broke while the upstream may have been running a request.
+    const ShutdownAdmission *admission = nullptr;
     std::mt19937_64 *random = nullptr;
 };
 
@@ -34,8 +36,6 @@
     std::shared_ptr<CallerConnection> caller{};
     RequestHead head{};
     std::string body{};
-    bool refuseRequest = false;                   ///< The process shuts down and accepts no new requests.
-    bool refuseIfStreaming = false;               ///< The process shuts down before a long response could be complete.
     std::function<void(Exchange &)> onFinished{}; ///< Called once.
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -34,15 +34,8 @@
 /// Minimum time for which connections are accepted after SIGTERM. The platform routes connections to the process until two
 /// readiness checks, a second apart, have failed; in a zone without other gateways even longer.
 constexpr Micros AcceptTimeAfterStop = 3 * MicrosPerSecond;
-/// Time reserved at the end of the grace period for sending the last responses, before the process is killed.
-constexpr Micros FinalFlushTime = 700 * MicrosPerMilli;
 /// Time reserved at the end of the grace period for ending the process.
 constexpr Micros ExitTime = 150 * MicrosPerMilli;
-/// How long new streams are accepted after SIGTERM. A stream may outlast the grace period and is then truncated. The platform
-/// tolerates this for streams that begin up to three seconds after SIGTERM; half a second is left for requests in transit.
-constexpr Micros AcceptStreamsTime = 2500 * MicrosPerMilli;
-/// Share of the grace period in which other new requests are accepted; they take well under a second.
-constexpr double AcceptShareOfGrace = 0.55;
 
 } // namespace
 
@@ -89,8 +82,6 @@
     /// Removes the features that had sound runs from the platform's store.
     void removeDisproved(const CrashEvidence &evidence, Micros now);
     [[nodiscard]] bool isReady() const;
-    [[nodiscard]] bool refusesRequests(Micros now) const;
-    [[nodiscard]] bool refusesStreams(Micros now) const;
     static void onReadiness(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer self);
 
     GatewayOptions options;
@@ -102,6 +93,7 @@
     RetryBudget retries;
     PoisonRequestDetector poisonRequests;
     CrashProbe crashProbe;
+    ShutdownAdmission admission;
     ExchangeContext context;
     std::shared_ptr<const RouteTable> routes;
     CallerLimitHistory callerLimits;
@@ -145,6 +137,7 @@
     , retries({ .ratio = options.settings.retryRatio, .allowance = options.settings.retryAllowance, .window = options.settings.retryWindow })
     , poisonRequests(random())
     , crashProbe([this](const Upstream &upstream) { noteCrashed(upstream.record, "refused", monotonicNow()); })
+    , admission({ .grace = options.settings.stopGrace })
     , context({ .upstreams = &upstreams,
                 .pool = &pool,
                 .retries = &retries,
@@ -153,6 +146,7 @@
                 .codec = &options.codec,
                 .onPrefillQueued = [this](Upstream &engine) { links->reportPendingPrefill(engine); },
                 .onConnectionLost = [this](const UpstreamRef &upstream) { crashProbe.start(upstream, monotonicNow()); },
+                .admission = &admission,
                 .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
@@ -317,22 +311,13 @@
     return stoppingSince == 0 && routes && configUnconfirmedUntil == 0 && upstreams.readyCount({}) > 0;
 }
 
-bool Gateway::Impl::refusesRequests(Micros now) const
-{
-    return stopped || (stoppingSince != 0 && now - stoppingSince > static_cast<Micros>(static_cast<double>(options.settings.stopGrace) * AcceptShareOfGrace));
-}
-
-bool Gateway::Impl::refusesStreams(Micros now) const
-{
-    return stoppingSince != 0 && now - stoppingSince > std::min(AcceptStreamsTime, options.settings.stopGrace / 2);
-}
-
 void Gateway::Impl::beginShutdown()
 {
     if (stoppingSince != 0) {
         return;
     }
     stoppingSince = monotonicNow();
+    admission.begin(stoppingSince);
     logEvent(LogLevel::Info, "stopping", { { "requests", exchanges.size() }, { "connections", callers.size() } });
     for (const std::shared_ptr<CallerConnection> &caller : callers) {
         caller->beginShutdown();
@@ -353,7 +338,7 @@
         }
         return;
     }
-    const bool graceExpiring = elapsed > options.settings.stopGrace - FinalFlushTime;
+    const bool graceExpiring = admission.isCutDue(now);
     if (elapsed < AcceptTimeAfterStop || (!exchanges.empty() && !graceExpiring)) {
         return;
     }
@@ -370,6 +355,7 @@
         }
     }
     stopped = true;
+    admission.end();
     // Each request that has arrived is answered or refused; a started stream is truncated. From now on new requests are refused.
     const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
     for (const std::shared_ptr<CallerConnection> &caller : all) {
@@ -428,8 +414,6 @@
                                                                       .caller = caller,
                                                                       .head = std::move(head),
                                                                       .body = std::move(body),
-                                                                      .refuseRequest = refusesRequests(now),
-                                                                      .refuseIfStreaming = refusesStreams(now),
                                                                       .onFinished = [this](Exchange &done) { exchanges.erase(done.shared_from_this()); } });
     exchanges.insert(exchange);
     exchange->begin(now);
