Hold a waiting request to the limits under which it was sent

Cause: the limits of a request were those of the moment at which the gateway begins to read it, plus those replaced up to 3 s before. A request that was sent whole behind another one is read only when the response before it is complete. If that takes longer than 3 s after limits were lowered, the request is refused for limits that it could not know.

A request that has waited is now also allowed what the request before it was allowed. As long as a caller never lets its connection run empty, the older limits go on there.

--- a/packages/gateway/include/carobhall/caller_limits.h
+++ b/packages/gateway/include/carobhall/caller_limits.h
@@ -18,6 +18,9 @@
 namespace Carobhall
 {
 
+/// The limits that allow whatever \p a or \p b allows. Thread-safe.
+[[nodiscard]] CallerLimits widest(const CallerLimits &a, const CallerLimits &b);
+
 /// Not thread-safe.
 class CallerLimitHistory
 {
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -60,7 +60,9 @@
     while (writer_.canBeginRequest() && !closed_ && channel_->isOpen() && !channel_->input().empty()) {
         if (!reader_.hasStarted()) {
             waitingSince_ = monotonicNow();
-            requestLimits_ = options_.limits->forRequest(waitingSince_);
+            const CallerLimits limits = options_.limits->forRequest(waitingSince_);
+            // A request that has waited behind the one before it was sent when that one's limits were known.
+            requestLimits_ = std::exchange(nextHasWaited_, false) ? widest(limits, requestLimits_) : limits;
             reader_ = RequestReader(readerLimits(requestLimits_));
         }
         const ReadProgress progress = reader_.read(channel_->input());
@@ -120,6 +122,7 @@
     case ResponseEnd::KeepAlive:
         waitingSince_ = monotonicNow();
         lastBytesAt_ = waitingSince_;
+        nextHasWaited_ = !channel_->input().empty() || channel_->hasUnreadInput();
         channel_->setReading(true);
         readRequests();
         return;
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -93,7 +93,8 @@
 
     CallerConnectionOptions options_;
     std::shared_ptr<Channel> channel_;
-    CallerLimits requestLimits_{}; ///< Of the request that is being read.
+    CallerLimits requestLimits_{}; ///< Of the request that is being read, or was read last.
+    bool nextHasWaited_ = false;   ///< Bytes of the next request arrived before the last response was complete.
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
     DeliveryWatch delivery_;
--- a/packages/gateway/src/caller_limits.cpp
+++ b/packages/gateway/src/caller_limits.cpp
@@ -6,6 +6,14 @@
 namespace Carobhall
 {
 
+CallerLimits widest(const CallerLimits &a, const CallerLimits &b)
+{
+    return { .maxHeaderBytes = std::max(a.maxHeaderBytes, b.maxHeaderBytes),
+             .maxBodyBytes = std::max(a.maxBodyBytes, b.maxBodyBytes),
+             .headerTimeout = std::max(a.headerTimeout, b.headerTimeout),
+             .idleTimeout = std::max(a.idleTimeout, b.idleTimeout) };
+}
+
 void CallerLimitHistory::adopt(const CallerLimits &limits, Micros now)
 {
     while (!replaced_.empty() && replaced_.front().until <= now) {
@@ -22,10 +30,7 @@
     CallerLimits result = current_;
     for (const Replaced &replaced : replaced_) {
         if (now < replaced.until) {
-            result.maxHeaderBytes = std::max(result.maxHeaderBytes, replaced.limits.maxHeaderBytes);
-            result.maxBodyBytes = std::max(result.maxBodyBytes, replaced.limits.maxBodyBytes);
-            result.headerTimeout = std::max(result.headerTimeout, replaced.limits.headerTimeout);
-            result.idleTimeout = std::max(result.idleTimeout, replaced.limits.idleTimeout);
+            result = widest(result, replaced.limits);
         }
     }
     return result;
