Count what a failed send leaves as undelivered

Cause: sendQueued() marked what it could not send as sent. Change: those bytes stay undelivered, and a closed connection ends with the failed send.

--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -127,6 +127,7 @@
     bool sendFailed_ = false;             ///< The connection was reset while bytes were being sent.
     bool peerFinished_ = false;           ///< The peer sends nothing more, but may still read.
     unsigned lingerSource_ = 0;           ///< GLib source that calls checkLinger() after close(); 0: none.
+    std::size_t dropped_ = 0;             ///< Written bytes that a failed send has left.
 };
 
 /// Accepts TCP connections. Not thread-safe.
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -85,7 +85,7 @@
     static gboolean dispatch(GSource *source, GSourceFunc /*function*/, gpointer /*data*/)
     {
         auto *const self = reinterpret_cast<Source *>(source);
-        if (self->owner != nullptr) {
+        if (self->owner != nullptr && self->tag != nullptr) {
             const std::shared_ptr<Channel> channel = self->owner->shared_from_this();
             channel->onReady(g_source_query_unix_fd(source, self->tag));
         }
@@ -190,7 +190,7 @@
     if (descriptor_ < 0) {
         return discarded_;
     }
-    if (unsent() == 0 && delivered_ == written_) {
+    if (unsent() == 0 && dropped_ == 0 && delivered_ == written_) {
         return 0;
     }
     int unacknowledged = 0;
@@ -199,7 +199,7 @@
         unacknowledged = 0;
     }
     // The end of the stream takes one place in the queue behind the data.
-    const std::uint64_t waiting = std::min<std::uint64_t>(unsent() + static_cast<std::size_t>(std::max(0, unacknowledged)), written_);
+    const std::uint64_t waiting = std::min<std::uint64_t>(unsent() + dropped_ + static_cast<std::size_t>(std::max(0, unacknowledged)), written_);
     delivered_ = written_ - waiting;
     return waiting;
 }
@@ -264,9 +264,14 @@
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
             break;
         }
+        if (state_ == State::Closing) {
+            abort();
+            return;
+        }
         // The error is reported by readAll() in the next main loop iteration, after any data that the peer sent before it. This call has taken it
         // from the socket, which looks like a normal end afterwards.
         sendFailed_ = true;
+        dropped_ += unsent();
         sent_ = output_.size();
     }
     if (unsent() == 0) {
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -343,6 +343,36 @@
     }
 }
 
+// Guards against bytes that count as delivered because their send has failed, and against a connection to a peer that has reset it and is kept as
+// if the peer were reading slowly.
+BOOST_AUTO_TEST_CASE(whatAFailedSendLeavesIsNotDelivered)
+{
+    for (const bool closesFirst : { true, false }) {
+        for (const bool reading : { true, false }) {
+            SlowPeer peer;
+            const std::shared_ptr<Channel> channel = peer.channel;
+            channel->setReading(reading);
+            const std::string data(std::size_t{ 8 } << 20U, 'x');
+            channel->write(data);
+            if (closesFirst) {
+                channel->close();
+            }
+            const linger resetOnClose{ .l_onoff = 1, .l_linger = 0 };
+            (void)setsockopt(peer.descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+            ::close(std::exchange(peer.descriptor, -1));
+            if (!closesFirst) {
+                channel->write("more");
+                channel->close();
+            }
+            const Micros begun = monotonicNow();
+            BOOST_TEST(iterateUntil([&] { return channel->isEnded(); }));
+            BOOST_TEST(monotonicNow() - begun < MicrosPerSecond);
+            // The peer's system took at most its window.
+            BOOST_TEST(channel->undelivered() > data.size() - (std::size_t{ 1 } << 20U));
+        }
+    }
+}
+
 // Guards against a closed connection that is kept for ever because its peer has all data but does not close its side.
 BOOST_AUTO_TEST_CASE(aCloseEndsWhenThePeerDoesNotClose)
 {
