Deliver a finished response to a caller that has nothing more to send

Cause: the end of the peer's data released the socket, unless the gateway had closed it before. Change: what was written before is delivered, as after close(); the owner is told at once, so that a request that is still running is cancelled as before.

Tests: http_test/aPeerThatFinishesSendingGetsWhatWasWritten, platform_slow_caller_test/aCallerThatFinishesSendingGetsItsWholeResponse (real gateway).

--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -18,7 +18,9 @@
 
 /// Why a connection ended.
 enum class ChannelEnd : std::uint8_t {
-    PeerFinished,  ///< The peer closed the connection normally (FIN); all the data that it sent has been received.
+    /// The peer closed the connection normally (FIN); all the data that it sent has been received. It may have finished sending only, so what was
+    /// written before is still delivered, as after close().
+    PeerFinished,
     Reset,         ///< The connection was reset or failed.
     ConnectFailed, ///< The connection was never established, so no written data has reached the peer.
 };
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -380,13 +380,23 @@
         end(ChannelEnd::Reset);
         return;
     }
-    if (state_ == State::Closing && undelivered() > 0) {
-        // A peer that sends nothing more may still read the rest.
-        peerFinished_ = true;
+    if (undelivered() == 0) {
+        end(ChannelEnd::PeerFinished);
+        return;
+    }
+    // A peer that sends nothing more may still read the rest.
+    peerFinished_ = true;
+    if (state_ == State::Closing) {
         updateInterest();
         return;
     }
-    end(ChannelEnd::PeerFinished);
+    const auto onEnd = std::exchange(options_.onEnd, nullptr);
+    std::string input = std::move(input_);
+    close();
+    input_ = std::move(input);
+    if (onEnd) {
+        onEnd(ChannelEnd::PeerFinished);
+    }
 }
 
 void Channel::end(ChannelEnd reason)
