Hold the next request of a connection while its responses wait to be sent

Found by the review: a caller that sends four requests ahead and reads 3.5 MB responses at 1 MB/s was reset after 0.1 MB, all four logged as served, because more than 8 MiB unsent abort the connection. Cause: the next request began when the response before it was queued. Change: it begins when at most 1 MiB of the responses before it is unsent.

--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -10,9 +10,12 @@
 
 /// Retry-After, in seconds, of a request that was read in part when the process ends. New connections reach another process at once.
 constexpr std::string_view RetryAfterStop = "0.150";
-/// A caller that takes no bytes of its response for this long has stopped reading. Shorter pauses are usual for callers that read slowly
-/// through a small window.
-constexpr Micros StallLimit = 15 * MicrosPerSecond;
+/// A caller that takes no bytes of its response for this long has stopped reading. The system of one that reads slowly through a large window
+/// acknowledges bytes in steps, some tens of seconds apart at a few kilobytes a second.
+constexpr Micros StallLimit = 60 * MicrosPerSecond;
+/// The next request of a connection waits while more bytes of the responses before it are unsent, so that a caller that sends many requests ahead
+/// does not collect their responses here.
+constexpr std::size_t MaxUnsentBeforeNextRequest = std::size_t{ 1 } << 20U;
 
 ReaderLimits readerLimits(const CallerLimits &limits)
 {
@@ -103,6 +106,17 @@
     reading_ = false;
 }
 
+void CallerConnection::beginNextRequest()
+{
+    nextIsHeld_ = channel_->unsent() > MaxUnsentBeforeNextRequest;
+    if (nextIsHeld_) {
+        return;
+    }
+    nextHasWaited_ = !channel_->input().empty() || channel_->hasUnreadInput();
+    channel_->setReading(true);
+    readRequests();
+}
+
 void CallerConnection::reject(unsigned status, std::string_view reason)
 {
     writer_.beginRequest(false);
@@ -122,9 +136,7 @@
     case ResponseEnd::KeepAlive:
         waitingSince_ = monotonicNow();
         lastBytesAt_ = waitingSince_;
-        nextHasWaited_ = !channel_->input().empty() || channel_->hasUnreadInput();
-        channel_->setReading(true);
-        readRequests();
+        beginNextRequest();
         return;
     case ResponseEnd::Close:
     case ResponseEnd::Truncated:
@@ -221,6 +233,10 @@
     if (writer_.isBusy()) {
         return;
     }
+    if (nextIsHeld_) {
+        beginNextRequest();
+        return;
+    }
     if (!reader_.hasStarted()) {
         if (!delivery_.isDelivered()) {
             waitingSince_ = now;
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -83,6 +83,8 @@
     [[nodiscard]] bool isClosed() const;
 
 private:
+    /// Reads the next request, unless too much of the responses before it is unsent; then checkTimeouts() calls it again.
+    void beginNextRequest();
     void readRequests();
     /// Sends the bytes of \p output and ends the response or the connection as it says.
     void apply(const ResponseOutput &output);
@@ -97,6 +99,7 @@
     bool nextHasWaited_ = false;   ///< Bytes of the next request arrived before the last response was complete.
     RequestReader reader_;
     Micros waitingSince_ = 0; ///< Start of the idle time, or arrival of the first byte of a request.
+    bool nextIsHeld_ = false; ///< See beginNextRequest().
     DeliveryWatch delivery_;
     ConnectionEnd end_ = ConnectionEnd::CallerLeft;
     Micros lastBytesAt_ = 0;
