Log what a stop cuts, and give slow readers a minute between steps

Found by the review: the line ended counted connections that only waited for their peer's close (8 in transit, 0 bytes), responses that the end of the process cut had no response_cut line, and a stall limit of 15 s reset callers that do read, at 1 to 16 KB/s through a large window, because a window opens in steps. Change: only connections with undelivered bytes count and are logged, and the limit is 60 s.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -61,6 +61,8 @@
     void onAccept(int descriptor);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
     void onCallerClosed(CallerConnection &caller, ConnectionEnd end);
+    /// Logs and counts a response that the caller has not taken whole, if there is one.
+    void reportCut(const CallerConnection &caller);
     /// Forgets the closed connections that have ended, and logs those whose callers did not get all bytes.
     void removeEnded();
     /// Logs the idle connections that were closed since the last call, in one line.
@@ -376,12 +378,17 @@
 void Gateway::Impl::endProcess(Micros elapsed)
 {
     ended = true;
+    std::size_t inTransit = 0;
     std::size_t undelivered = 0;
     for (const std::shared_ptr<CallerConnection> &caller : closing) {
-        undelivered += caller->undeliveredBytes();
+        if (caller->isBusy()) {
+            ++inTransit;
+            undelivered += caller->undeliveredBytes();
+            reportCut(*caller);
+        }
     }
     logEvent(LogLevel::Info, "ended",
-             { { "responses_in_transit", closing.size() }, { "undelivered_bytes", undelivered }, { "after_ms", elapsed / MicrosPerMilli } });
+             { { "responses_in_transit", inTransit }, { "undelivered_bytes", undelivered }, { "after_ms", elapsed / MicrosPerMilli } });
     options.onStopped();
 }
 
@@ -428,16 +435,21 @@
     }
 }
 
+void Gateway::Impl::reportCut(const CallerConnection &caller)
+{
+    if (const std::size_t undelivered = caller.undeliveredBytes(); undelivered > 0) {
+        metrics.count("carobhall_responses_cut_total", "reason=\"" + std::string(nameOf(caller.end())) + "\"");
+        logEvent(LogLevel::Info, "response_cut", { { "reason", caller.end() }, { "undelivered_bytes", undelivered } });
+    }
+}
+
 void Gateway::Impl::removeEnded()
 {
     std::erase_if(closing, [this](const std::shared_ptr<CallerConnection> &caller) {
         if (!caller->isEnded()) {
             return false;
         }
-        if (const std::size_t undelivered = caller->undeliveredBytes(); undelivered > 0) {
-            metrics.count("carobhall_responses_cut_total", "reason=\"" + std::string(nameOf(caller->end())) + "\"");
-            logEvent(LogLevel::Info, "response_cut", { { "reason", caller->end() }, { "undelivered_bytes", undelivered } });
-        }
+        reportCut(*caller);
         return true;
     });
 }
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -41,7 +41,7 @@
     Micros unackedTimeout = 0;                            ///< Resets the connection if sent data stays unacknowledged for this long; 0: system default.
     std::size_t maxInputBytes = std::size_t{ 6 } << 20U;  ///< Reading pauses while input() holds at least this many bytes.
     std::size_t maxOutputBytes = std::size_t{ 8 } << 20U; ///< More unsent bytes than this abort the connection, without onEnd.
-    Micros stallLimit = 15 * MicrosPerSecond;             ///< After close(): resets the connection if the peer takes no bytes for this long.
+    Micros stallLimit = 60 * MicrosPerSecond;             ///< After close(): resets the connection if the peer takes no bytes for this long.
 };
 
 /// One TCP connection, owned through shared_ptr. Destroying it resets the connection, unless close() was called.
@@ -127,9 +127,9 @@
     std::size_t discarded_ = 0;           ///< Undelivered bytes at the end of the connection.
     DeliveryWatch delivery_;              ///< After close().
     bool sendFailed_ = false;             ///< The connection was reset while bytes were being sent.
+    std::size_t dropped_ = 0;             ///< Written bytes that a failed send has left.
     bool peerFinished_ = false;           ///< The peer sends nothing more, but may still read.
     unsigned lingerSource_ = 0;           ///< GLib source that calls checkLinger() after close(); 0: none.
-    std::size_t dropped_ = 0;             ///< Written bytes that a failed send has left.
 };
 
 /// Accepts TCP connections. Not thread-safe.
