Release the memory of output that was sent

Seen: a gateway with 30 callers that read 100 KB/s, each with a response of 4 MB, used 131.6 MB of private memory, although the system had taken most of each response into its own buffers.

Cause: Channel kept each written byte until the peer's system had taken all of them, and kept the capacity of the buffer afterwards.

Change: sent bytes are dropped from the buffer once they outnumber the unsent ones and pass 128 KiB, and a larger buffer is released when it is empty.

--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -21,10 +21,11 @@
 namespace
 {
 
-constexpr std::size_t ReadBufferBytes = std::size_t{ 64 } << 10U; ///< Large enough to receive a request of the usual size in one read.
-constexpr int ListenBacklog = 1024;                               ///< Pending connections; covers a burst from the clients of one zone.
-constexpr Micros LingerTimeout = 1500 * MicrosPerMilli;           ///< Time that the peer gets to close its side after it has all data.
-constexpr unsigned LingerCheckMs = 100;                           ///< Interval of checkLinger().
+constexpr std::size_t ReadBufferBytes = std::size_t{ 64 } << 10U;  ///< Large enough to receive a request of the usual size in one read.
+constexpr std::size_t MaxKeptCapacity = std::size_t{ 128 } << 10U; ///< Memory for output that has been sent.
+constexpr int ListenBacklog = 1024;                                ///< Pending connections; covers a burst from the clients of one zone.
+constexpr Micros LingerTimeout = 1500 * MicrosPerMilli;            ///< Time that the peer gets to close its side after it has all data.
+constexpr unsigned LingerCheckMs = 100;                            ///< Interval of checkLinger().
 
 // TCP keep-alive detects a peer that disappeared without a reset. The resulting 3 s are below the time in which configuration
 // changes and draining must be known.
@@ -268,7 +269,11 @@
         sent_ = output_.size();
     }
     if (unsent() == 0) {
+        // The memory of a large response is released: the connection may stay open for long.
         output_.clear();
+        if (output_.capacity() > MaxKeptCapacity) {
+            output_.shrink_to_fit();
+        }
         sent_ = 0;
         if (state_ == State::Closing) {
             (void)shutdown(descriptor_, SHUT_WR);
@@ -277,6 +282,11 @@
         abort();
         return;
     }
+    if (sent_ > MaxKeptCapacity && sent_ > unsent()) {
+        // A peer that never takes everything would otherwise have all that was ever written kept.
+        output_ = output_.substr(sent_);
+        sent_ = 0;
+    }
     updateInterest();
 }
 
