Bound the responses that a gateway holds for all callers

Seen, with the program under test: 40 requests at a server that sends bytes without end took 155.9 MB of private memory, 60 callers that read 100 KB/s with responses of 4 MB took 245.7 MB. The platform kills a process above limits.memoryMb, 88 to 110 MB, and with it ends the requests of all callers.

Cause: each response has a limit of 4 MiB, their sum had none.

Change: ResponseBudget counts the bytes of responses that callers have not taken. Above a quarter of the new setting memory_mb, a response may hold 64 KiB: a longer one that is not streamed is forwarded while it arrives, and an upstream is read only as fast as its caller reads, until the sum is below 15 percent. A response that is forwarded early is not repeated at another upstream; a failure truncates it. The time in which the caller holds it up extends its deadline. The body of a response that cannot reach the caller (refused, misdirected, not authentic, encoded) is counted but not kept. Channel::setInputHeld() differs from setReading(false): a FIN behind unread bytes is not reported before them, because a response that ends with its connection would look complete.

Ruled out: only pausing upstreams without forwarding. Responses that are kept until they are complete would wait for each other.

--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -42,6 +42,7 @@
     Micros stopGrace = 8 * MicrosPerSecond; ///< From SIGTERM until the process is killed.
     double retryRatio = 0.1;                ///< Fleet-wide limit of retries, see RetryBudgetOptions.
     double retryAllowance = 0.0;
+    std::size_t memoryLimit = std::size_t{ 88 } << 20U; ///< Bytes that the process may use; a gateway bounds what it holds of responses by it.
     Micros retryWindow = 10 * MicrosPerSecond;
     Micros drainTime = 4 * MicrosPerSecond;                         ///< An upstream gets no request this long after its entry says that it is draining.
     Micros weightsDeadline = UpstreamTable::DefaultWeightsDeadline; ///< No request starts on weights that were replaced this long ago.
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -259,6 +259,11 @@
     return channel_->undelivered();
 }
 
+std::size_t CallerConnection::unsentBytes() const
+{
+    return channel_->isEnded() ? 0 : channel_->unsent();
+}
+
 bool CallerConnection::hasStartedStream() const
 {
     return writer_.hasStartedStream();
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -79,6 +79,8 @@
     [[nodiscard]] bool isEnded() const;
     /// Bytes of responses that the caller has not taken. Once the connection has ended: those that were discarded.
     [[nodiscard]] std::size_t undeliveredBytes() const;
+    /// Bytes of responses that this process holds because the system does not take them yet.
+    [[nodiscard]] std::size_t unsentBytes() const;
     [[nodiscard]] bool hasStartedStream() const;
     [[nodiscard]] bool isClosed() const;
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -19,6 +19,8 @@
 /// A response that is not streamed is kept until it is complete. A longer one is not forwarded: it may have no end, and a gateway has 88 MB.
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t{ 4 } << 20U;
 
+constexpr Micros DeadlineRecheckInterval = 100 * MicrosPerMilli; ///< While a response is held up by its caller.
+
 std::string formatSeconds(Micros time)
 {
     std::array<char, 32> text{};
@@ -204,10 +206,75 @@
         return;
     }
     attempt_->lastProgressAt = monotonicNow();
-    body_ += attempt_->call->takeBody();
-    if (body_.size() > MaxBufferedResponseBytes) {
+    const std::string bytes = attempt_->call->takeBody();
+    bodyBytes_ += bytes.size();
+    if (bodyBytes_ > MaxBufferedResponseBytes) {
         body_ = {};
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "response_too_large");
+        return;
+    }
+    if (!isBodyWanted()) {
+        return;
+    }
+    body_ += bytes;
+    options_.context->responseBudget->noteReceived(bytes.size());
+    checkBudget();
+}
+
+bool Exchange::isBodyWanted() const
+{
+    const UpstreamResponse &response = attempt_->call->response();
+    const bool isAnswer = response.authentic && !response.rejected && !response.misdirected && !response.hasContentEncoding;
+    return isAnswer && options_.head.method != "HEAD" && (forwardsBody_ || !options_.caller->hasStartedStream());
+}
+
+void Exchange::checkBudget()
+{
+    if (finished_ || !attempt_ || !attempt_->call->isActive()) {
+        return;
+    }
+    const ResponseBudget &budget = *options_.context->responseBudget;
+    if (forwardsBody_ ? !body_.empty() : budget.isTight() && body_.size() > budget.window()) {
+        forwardBody();
+    }
+    updatePause();
+}
+
+std::size_t Exchange::heldBytes() const
+{
+    return body_.size();
+}
+
+void Exchange::forwardBody()
+{
+    if (!std::exchange(forwardsBody_, true)) {
+        // The caller has the beginning of this response, which no other upstream can continue.
+        noteProgress();
+        inactivityTimer_.stop();
+        options_.context->metrics->count("carobhall_responses_forwarded_early_total");
+        options_.caller->startStream(attempt_->call->head().status, forwardedFields(attempt_->call->head()));
+    }
+    options_.caller->sendStream(std::exchange(body_, {}));
+}
+
+void Exchange::updatePause()
+{
+    if (!options_.caller->hasStartedStream()) {
+        return;
+    }
+    const Micros now = monotonicNow();
+    const bool pause = options_.caller->unsentBytes() > options_.context->responseBudget->window();
+    if (isPaused_ || pause) {
+        // The upstream is not silent: it is not read.
+        attempt_->lastProgressAt = now;
+    }
+    if (std::exchange(isPaused_, pause) != pause) {
+        attempt_->call->setPaused(pause);
+        if (pause) {
+            pausedSince_ = now;
+        } else {
+            pausedTime_ += now - pausedSince_;
+        }
     }
 }
 
@@ -269,6 +336,8 @@
         options_.caller->startStream(attempt_->call->head().status, forwardedFields(attempt_->call->head()));
     }
     options_.caller->sendStream(events);
+    options_.context->responseBudget->noteReceived(events.size());
+    updatePause();
 }
 
 void Exchange::onEnd(CallEnd end)
@@ -297,6 +366,14 @@
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, response.hasContentEncoding ? "encoded_response" : "not_authentic");
         return;
     }
+    if (forwardsBody_) {
+        verdict_ = Verdict::Ran;
+        const unsigned status = head.status;
+        options_.caller->finishStream();
+        endAttempt(*attempt_, AttemptResult::Served);
+        finish(status, isSuccess(status) ? "served" : "upstream_error");
+        return;
+    }
     if (route_->kind == RequestKind::Streaming && isSuccess(head.status)) {
         onStreamEnd();
         return;
@@ -408,6 +485,15 @@
 void Exchange::onDeadline()
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
+    if (forwardsBody_) {
+        // The upstream is given its time without that in which the caller's slow reading held it up. A caller that takes nothing is ended by
+        // the stall limit of its connection.
+        const Micros held = std::exchange(pausedTime_, 0);
+        if (isPaused_ || held > 0) {
+            deadlineTimer_.startOnce(std::max(held, DeadlineRecheckInterval), [this] { onDeadline(); });
+            return;
+        }
+    }
     cancelAttempt();
     giveUp("deadline", RetryAfterFull, 504);
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -8,6 +8,7 @@
 #include "carobhall/attempt_handover.h"
 #include "carobhall/event_stream.h"
 #include "carobhall/poison_request_detector.h"
+#include "carobhall/response_budget.h"
 #include "carobhall/retry_budget.h"
 
 namespace Carobhall
@@ -18,6 +19,7 @@
     UpstreamTable *upstreams = nullptr;
     UpstreamPool *pool = nullptr;
     RetryBudget *retries = nullptr;
+    ResponseBudget *responseBudget = nullptr;
     PoisonRequestDetector *poisonRequests = nullptr;
     Metrics *metrics = nullptr;
     const ExchangeCodec *codec = nullptr;
@@ -54,6 +56,10 @@
     /// The process exits before the request is complete: cancels the attempt, and responds with an error or truncates the started stream.
     void abortForShutdown();
     [[nodiscard]] const CallerConnection *caller() const;
+    /// Call regularly: forwards and reads as much of the response as the response budget allows now.
+    void checkBudget();
+    /// Bytes of the response that were read and are not forwarded to the caller.
+    [[nodiscard]] std::size_t heldBytes() const;
 
 private:
     struct Attempt;
@@ -115,6 +121,12 @@
     /// Another process or other weights are at the address of the upstream.
     void noteMisdirected(Attempt &answered);
     void onBody();
+    /// The body of the response that is being read may reach the caller.
+    [[nodiscard]] bool isBodyWanted() const;
+    /// Passes on what was read of a response that is not streamed. The first call ends the choice of another upstream for the request.
+    void forwardBody();
+    /// Reads the upstream only while the caller has taken enough.
+    void updatePause();
     void onEnd(CallEnd end);
     void forwardEvents();
     /// Sends \p events to the caller, after the head of the response if they are the first.
@@ -169,7 +181,12 @@
     bool attemptForwards_ = false; ///< The current attempt has contributed events to the response.
     std::string lastEventId_;
     Micros firstEventAt_ = 0;
-    std::string body_;                     ///< Body of a response that is not streamed.
+    std::string body_;          ///< Body of a response that is not streamed, as far as it is not forwarded.
+    std::size_t bodyBytes_ = 0; ///< Bytes that were read of that body.
+    bool forwardsBody_ = false; ///< forwardBody() was called.
+    bool isPaused_ = false;     ///< The upstream is not read.
+    Micros pausedSince_ = 0;
+    Micros pausedTime_ = 0;                ///< Sum of earlier pauses that have not extended the deadline.
     std::vector<RequestFeature> features_; ///< Computed by features().
     bool isSound_ = false;                 ///< noteSound() was called.
     bool finished_ = false;
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -193,7 +193,9 @@
 {
     events_ = {};
     attemptForwards_ = false;
-    body_.clear();
+    body_ = {};
+    bodyBytes_ = 0;
+    isPaused_ = false;
 }
 
 void Exchange::sendTo(Attempt &target, Micros now)
@@ -439,6 +441,12 @@
     options_.context->metrics->count("carobhall_attempts_failed_total", "reason=\"" + std::string(reason) + "\"");
     verdict_ = combine(verdict_, verdict);
     const AttemptEnding ending = endingOf(verdict, result);
+    if (forwardsBody_) {
+        attempt_->call->cancel();
+        endAttempt(*attempt_, result);
+        giveUp(reason, RetryAfterRejected);
+        return;
+    }
     if (handover_.onSilentEnded(ending) == HandoverStep::Replace) {
         replaceAttempt(reason, result);
         return;
@@ -560,7 +568,7 @@
     }
     attempt_->call->cancel();
     // A stream that stalls after its first event is the upstream's failure; before that the request may have been queued.
-    const bool stalled = options_.caller->hasStartedStream() && monotonicNow() - attempt_->lastProgressAt > inactivityLimit();
+    const bool stalled = !forwardsBody_ && options_.caller->hasStartedStream() && monotonicNow() - attempt_->lastProgressAt > inactivityLimit();
     endAttempt(*attempt_, stalled ? AttemptResult::Failed : AttemptResult::Abandoned);
 }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -63,6 +63,8 @@
     void beginShutdown();
     void tick();
     void checkStop(Micros now);
+    /// Counts the bytes of responses that are held, and lets exchanges read and forward as much as that allows.
+    void checkResponseBudget();
     /// \p elapsed: time since the beginning of the shutdown.
     void endProcess(Micros elapsed);
     void onAccept(int descriptor);
@@ -100,6 +102,8 @@
     UpstreamTable upstreams;
     UpstreamPool pool;
     RetryBudget retries;
+    ResponseBudget responseBudget;
+    bool wasBudgetTight = false;
     PoisonRequestDetector poisonRequests;
     CrashProbe crashProbe;
     ExchangeContext context;
@@ -143,11 +147,13 @@
                 options.settings.name)
     , pool({ .maySend = [this](const Upstream &upstream) { return upstreams.isUsable(upstream, monotonicNow()); } })
     , retries({ .ratio = options.settings.retryRatio, .allowance = options.settings.retryAllowance, .window = options.settings.retryWindow })
+    , responseBudget({ .memoryLimit = options.settings.memoryLimit })
     , poisonRequests(random())
     , crashProbe([this](const Upstream &upstream) { noteCrashed(upstream.record, "refused", monotonicNow()); })
     , context({ .upstreams = &upstreams,
                 .pool = &pool,
                 .retries = &retries,
+                .responseBudget = &responseBudget,
                 .poisonRequests = &poisonRequests,
                 .metrics = &metrics,
                 .codec = &options.codec,
@@ -299,6 +305,7 @@
         caller->checkTimeouts(now);
     }
     removeEnded();
+    checkResponseBudget();
     reportIdleCloses(now);
     if (const bool reachable = options.platform->available(); reachable != platformReachable) {
         platformReachable = reachable;
@@ -312,6 +319,32 @@
     checkStop(now);
 }
 
+void Gateway::Impl::checkResponseBudget()
+{
+    std::size_t held = 0;
+    for (const auto *const connections : { &callers, &closing }) {
+        for (const std::shared_ptr<CallerConnection> &caller : *connections) {
+            held += caller->unsentBytes();
+        }
+    }
+    for (const std::shared_ptr<Exchange> &exchange : exchanges) {
+        held += exchange->heldBytes();
+    }
+    // Before the count, what was received since the last one is included, so that a short peak is reported too.
+    const bool peaked = responseBudget.isTight();
+    responseBudget.setHeld(held);
+    metrics.setGauge("carobhall_response_bytes_held", {}, static_cast<double>(held));
+    if (const bool tight = peaked || responseBudget.isTight(); tight != wasBudgetTight) {
+        wasBudgetTight = tight;
+        logEvent(LogLevel::Warning, tight ? "response_budget_tight" : "response_budget_relieved",
+                 { { "held_bytes", held }, { "limit_bytes", responseBudget.highWatermark() }, { "requests", exchanges.size() } });
+    }
+    const std::vector<std::shared_ptr<Exchange>> all(exchanges.begin(), exchanges.end());
+    for (const std::shared_ptr<Exchange> &exchange : all) {
+        exchange->checkBudget();
+    }
+}
+
 bool Gateway::Impl::isReady() const
 {
     return stoppingSince == 0 && routes && configUnconfirmedUntil == 0 && upstreams.readyCount({}) > 0;
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -171,6 +171,13 @@
     return reader_.takeBody();
 }
 
+void UpstreamCall::setPaused(bool paused)
+{
+    if (channel_) {
+        channel_->setInputHeld(paused);
+    }
+}
+
 bool UpstreamCall::usedIdleConnection() const
 {
     return usedIdle_;
@@ -267,6 +274,7 @@
     const bool reusable = end == CallEnd::Complete && reusable_ && reader_.head().persistent && channel->isOpen() && channel->input().empty()
         && channel->unsent() == 0;
     if (reusable) {
+        channel->setInputHeld(false);
         options_.pool->release(*options_.upstream, channel, response_.keepAlive, monotonicNow());
     } else if (end == CallEnd::Complete) {
         channel->close();
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -118,6 +118,8 @@
     [[nodiscard]] const ResponseHead &head() const;
     [[nodiscard]] const UpstreamResponse &response() const;
     [[nodiscard]] std::string takeBody();
+    /// While \p paused, the response is not read from the connection.
+    void setPaused(bool paused);
     /// Whether the request was sent on a connection from the pool.
     [[nodiscard]] bool usedIdleConnection() const;
 
--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -72,6 +72,9 @@
     /// Reading is on at first. While it is off, bytes stay in the socket and onEnd still reports the end of the connection, which then
     /// counts as PeerFinished even if unread bytes precede the peer's FIN.
     void setReading(bool enabled);
+    /// While input is held, neither bytes nor a FIN behind them are read: the peer's system stops sending once the buffers are full. Unlike with
+    /// setReading(), onEnd follows after all bytes that precede the end. A reset is reported at once.
+    void setInputHeld(bool held);
     /// Whether the connection is established or being established.
     [[nodiscard]] bool isOpen() const;
     /// Whether the connection is being established, so that no byte has reached the peer.
@@ -117,6 +120,7 @@
     std::size_t sent_ = 0; ///< Bytes at the front of output_ that the socket has accepted.
     Source *source_ = nullptr;
     bool reading_ = true;
+    bool inputHeld_ = false;  ///< See setInputHeld().
     bool inputWaits_ = false; ///< Reading is off and the socket holds bytes, so that only the end of the connection is polled for.
     unsigned interest_ = 0;   ///< GIOCondition flags that the main loop currently polls for.
     std::optional<ChannelEnd> pendingEnd_;
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -160,7 +160,8 @@
         }
         return;
     }
-    const bool wantsInput = !pendingEnd_ && !peerFinished_ && (state_ == State::Closing || input_.size() < options_.maxInputBytes);
+    const bool mayRead = state_ == State::Closing || (!inputHeld_ && input_.size() < options_.maxInputBytes);
+    const bool wantsInput = !pendingEnd_ && !peerFinished_ && mayRead;
     const unsigned inputEvent = inputWaits_ && !peerFinished_ ? PeerFinishedEvent : wantsInput ? unsigned{ G_IO_IN } : 0U;
     const unsigned events = inputEvent | (unsent() > 0 ? unsigned{ G_IO_OUT } : 0U);
     if (events != interest_) {
@@ -315,6 +316,14 @@
     updateInterest();
 }
 
+void Channel::setInputHeld(bool held)
+{
+    if (inputHeld_ != held) {
+        inputHeld_ = held;
+        updateInterest();
+    }
+}
+
 void Channel::checkEnd(unsigned condition)
 {
     if ((condition & G_IO_ERR) != 0 || ((condition & G_IO_HUP) != 0 && state_ != State::Closing)) {
