Report the end of a connection whose output overflows

Seen in the code: a channel with more than 8 MiB of unsent output was reset without onEnd and without a log line, so that its owner learned of it only by a timeout.

Change: the reset is logged as output_overflow, and onEnd reports it from the main loop, because callbacks are never invoked from within write(). close() and abort() still suppress it, and a channel that is dropped reports nothing.

--- a/packages/http/include/carobhall/channel.h
+++ b/packages/http/include/carobhall/channel.h
@@ -38,7 +38,7 @@
     std::function<void(ChannelEnd)> onEnd{};              ///< Called once when the connection ends, unless close() or abort() was called before.
     Micros unackedTimeout = 0;                            ///< Resets the connection if sent data stays unacknowledged for this long; 0: system default.
     std::size_t maxInputBytes = std::size_t{ 6 } << 20U;  ///< Reading pauses while input() holds at least this many bytes.
-    std::size_t maxOutputBytes = std::size_t{ 8 } << 20U; ///< More unsent bytes than this abort the connection, without onEnd.
+    std::size_t maxOutputBytes = std::size_t{ 8 } << 20U; ///< More unsent bytes than this reset the connection; onEnd reports it from the main loop.
     Micros stallLimit = 15 * MicrosPerSecond;             ///< After close(): resets the connection if the peer takes no bytes for this long.
 };
 
@@ -108,6 +108,8 @@
     void sendQueued();
     void onPeerFinished();
     void end(ChannelEnd reason);
+    /// Resets the connection and calls onEnd in the next iteration of the main loop, unless close() or abort() is called before.
+    void endOverflow();
     void release();
     /// Ends the connection after close() once the peer has all data or takes no more of it.
     void checkLinger();
--- a/packages/http/src/channel.cpp
+++ b/packages/http/src/channel.cpp
@@ -280,7 +280,7 @@
             (void)shutdown(descriptor_, SHUT_WR);
         }
     } else if (unsent() > options_.maxOutputBytes) {
-        abort();
+        endOverflow();
         return;
     }
     if (sent_ > MaxKeptCapacity && sent_ > unsent()) {
@@ -408,8 +408,31 @@
     }
 }
 
+void Channel::endOverflow()
+{
+    logEvent(LogLevel::Warning, "output_overflow", { { "unsent_bytes", unsent() }, { "limit_bytes", options_.maxOutputBytes } });
+    auto onEnd = std::move(options_.onEnd);
+    abort();
+    options_.onEnd = std::move(onEnd);
+    // Callbacks are never invoked from within write().
+    auto *const self = new std::weak_ptr<Channel>(weak_from_this());
+    g_idle_add_full(
+        G_PRIORITY_DEFAULT,
+        [](gpointer data) -> gboolean {
+            if (const std::shared_ptr<Channel> channel = static_cast<std::weak_ptr<Channel> *>(data)->lock(); channel && channel->options_.onEnd) {
+                const auto callback = std::exchange(channel->options_.onEnd, nullptr);
+                callback(ChannelEnd::Reset);
+            }
+            return G_SOURCE_REMOVE;
+        },
+        self, [](gpointer data) { delete static_cast<std::weak_ptr<Channel> *>(data); });
+}
+
 void Channel::close()
 {
+    if (state_ == State::Ended) {
+        options_.onEnd = nullptr;
+    }
     if (state_ == State::Connecting) {
         abort();
         return;
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -395,3 +395,40 @@
     }
     BOOST_TEST(stalls > 0U);
 }
+
+// Guards against an owner that waits for ever on a connection that was given up because the peer takes too little.
+BOOST_AUTO_TEST_CASE(anOverflowOfTheOutputIsReportedFromTheMainLoop)
+{
+    SlowPeer peer({ .onEnd = nullptr, .maxOutputBytes = std::size_t{ 1 } << 20U });
+    std::optional<ChannelEnd> end;
+    peer.channel->setCallbacks(nullptr, [&end](ChannelEnd reason) { end = reason; });
+    peer.channel->write(std::string(std::size_t{ 16 } << 20U, 'x'));
+    BOOST_TEST(!end.has_value());
+    BOOST_TEST(!peer.channel->isOpen());
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) { }
+    BOOST_TEST((end == ChannelEnd::Reset));
+}
+
+// Guards against a response that ends with its connection and counts as complete although bytes of it were not read.
+BOOST_AUTO_TEST_CASE(whileInputIsHeldTheEndIsNotReportedBeforeTheBytes)
+{
+    const std::string sent(100'000, 'x');
+    std::array<int, 2> sockets{};
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()) == 0);
+    const auto channel = Channel::adopt(sockets[0], {});
+    std::optional<ChannelEnd> end;
+    channel->setCallbacks([] {}, [&end](ChannelEnd reason) { end = reason; });
+    channel->setInputHeld(true);
+    BOOST_REQUIRE(write(sockets[1], sent.data(), sent.size()) == static_cast<ssize_t>(sent.size()));
+    (void)shutdown(sockets[1], SHUT_WR);
+    for (int i = 0; i < 20; ++i) {
+        g_main_context_iteration(nullptr, FALSE);
+    }
+    BOOST_TEST(!end.has_value());
+    BOOST_TEST(channel->input().empty());
+    channel->setInputHeld(false);
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) { }
+    BOOST_TEST((end == ChannelEnd::PeerFinished));
+    BOOST_TEST(channel->input().size() == sent.size());
+    ::close(sockets[1]);
+}
