--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -253,7 +253,7 @@
 
 /// A channel whose peer is a plain socket with a small receive window, which the test reads by hand.
 struct SlowPeer {
-    explicit SlowPeer(ChannelOptions options = {})
+    explicit SlowPeer(const ChannelOptions &options = {})
         : listener([this, options](int accepted) { channel = Channel::adopt(accepted, options); })
         , descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
