Move the shared cache scope when the set of isolated accounts changes

Cause: the salt of accounts that share was the weights version alone, so it was the same before and after another account became isolated. A server finds parts by salt, and cannot tell whose request made them.

Change: the common salt names the set of isolated accounts (sorted, hashed). It is therefore used only while that set is in force and only by accounts outside of it. Every gateway derives it from its configuration, so that no message is needed and a configuration that goes back, a restart or a restored store leads to the same salt. A request that is sent again after a change goes by the accounts isolated in either configuration; it used the configuration of its arrival before.

While no account is isolated the salt is what it was.

Looked at: parts in the KV store and fetches carry the same salt; the index is keyed by it; a request without prompt parts carries none. saltsSeparateWeightsAndIsolatedAccounts keeps its checks, with the scopes in place of the account's name.

--- a/packages/gateway/include/carobhall/gateway_config.h
+++ b/packages/gateway/include/carobhall/gateway_config.h
@@ -11,6 +11,7 @@
 //   3. RouteTable      a configuration with indexes for look-ups
 
 #include "carobhall/base.h"
+#include "carobhall/cache_scopes.h"
 
 #include <unordered_map>
 
@@ -150,9 +151,12 @@
     [[nodiscard]] const Service *service(std::string_view name) const;
     /// The first KV cache store, or nullptr. Thread-safe.
     [[nodiscard]] const Service *cacheStore() const;
+    /// Thread-safe.
+    [[nodiscard]] const CacheScopes &cacheScopes() const;
 
 private:
     GatewayConfig config_;
+    CacheScopes cacheScopes_;
     NameMap<std::vector<const Route *>> byHost_; ///< Longest prefix first.
     NameMap<const Account *> byKey_;
     NameMap<const Service *> services_;
--- a/packages/gateway/include/carobhall/prefix_cache_index.h
+++ b/packages/gateway/include/carobhall/prefix_cache_index.h
@@ -4,7 +4,7 @@
 //
 // It is filled from the cache events that the sidecars of the engines forward and from this process's own responses. Entries are
 // hints: a wrong one costs a prefill or a transfer, never a wrong answer, because engines look parts up under a salt that
-// contains the weights version and, for isolated accounts, the account.
+// contains the weights version and the scope of the account.
 
 #include "carobhall/base.h"
 
@@ -22,8 +22,8 @@
 };
 
 /// The salt under which engines cache the parts of a request; parts are found only under an identical salt. Thread-safe.
-/// \p isolatedAccount is empty for accounts that share parts.
-[[nodiscard]] std::string cacheSalt(std::uint64_t weightsVersion, std::string_view isolatedAccount);
+/// \p scope: see CacheScopes.
+[[nodiscard]] std::string cacheSalt(std::uint64_t weightsVersion, std::string_view scope);
 
 using PartKey = std::uint64_t;
 /// Hash of the salt and the part's id. Thread-safe.
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -85,7 +85,7 @@
     std::string service{};
     std::vector<PromptPart> parts{}; ///< The last one is unique to the request; the others may be shared with other requests.
     std::uint64_t outputTokens = 0;  ///< Maximum.
-    std::string isolatedAccount{};   ///< Empty: the account shares cached parts with others.
+    std::string cacheScope{};        ///< See CacheScopes.
     Micros overloadWaitLimit = 0;    ///< Maximum time to the first token under overload, in favour of more urgent requests.
     Micros normalWaitLimit = 0;      ///< Maximum time to the first token otherwise; at least overloadWaitLimit.
 };
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -26,6 +26,7 @@
     const ExchangeCodec *codec = nullptr;
     std::function<void(Upstream &)> onPrefillQueued{};           ///< A prompt was sent to a model server and awaits prefill.
     std::function<void(const UpstreamRef &)> onConnectionLost{}; ///< A connection broke while the upstream may have been running a request.
+    std::function<std::shared_ptr<const RouteTable>()> currentRoutes{}; ///< Of the newest configuration; null while none has arrived.
     const ShutdownAdmission *admission = nullptr;
     std::mt19937_64 *random = nullptr;
 };
@@ -149,6 +150,8 @@
     void finish(unsigned status, std::string_view outcome);
     /// The longest time to the first token at which more urgent routes of the same service still meet their targets.
     [[nodiscard]] Micros waitLimitForUrgentRoutes() const;
+    /// The scope in which an attempt that is sent now reads and makes cached prompt parts.
+    [[nodiscard]] std::string cacheScope() const;
     /// By what requests that crash upstreams are recognised.
     [[nodiscard]] std::span<const RequestFeature> features();
     /// Whether earlier requests with the same features crashed upstreams.
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -72,6 +72,17 @@
     return limit;
 }
 
+std::string Exchange::cacheScope() const
+{
+    const std::string_view account = account_ != nullptr ? std::string_view(account_->name) : std::string_view();
+    const CacheScopes &scopes = options_.routes->cacheScopes();
+    const std::shared_ptr<const RouteTable> current = options_.context->currentRoutes();
+    if (!current || current->cacheScopes() == scopes) {
+        return scopes.scopeOf(account);
+    }
+    return scopes.combinedWith(current->cacheScopes()).scopeOf(account);
+}
+
 Exchange::NoAttempt Exchange::noAttempt(RefusalReason reason, Micros retryAfterNoUpstream, Micros now) const
 {
     switch (reason) {
@@ -102,7 +113,7 @@
         const PromptDemand demand{ .service = service_->name,
                                    .parts = request_.parts,
                                    .outputTokens = request_.outputTokens,
-                                   .isolatedAccount = account_ != nullptr && account_->isolated ? account_->name : std::string(),
+                                   .cacheScope = cacheScope(),
                                    .overloadWaitLimit = overloadWaitLimit,
                                    .normalWaitLimit = std::max(
                                        overloadWaitLimit,
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -154,6 +154,7 @@
                 .codec = &options.codec,
                 .onPrefillQueued = [this](Upstream &engine) { links->reportPendingPrefill(engine); },
                 .onConnectionLost = [this](const UpstreamRef &upstream) { crashProbe.start(upstream, monotonicNow()); },
+                .currentRoutes = [this] { return routes; },
                 .admission = &admission,
                 .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
--- a/packages/gateway/src/prefix_cache_index.cpp
+++ b/packages/gateway/src/prefix_cache_index.cpp
@@ -15,13 +15,9 @@
 
 } // namespace
 
-std::string cacheSalt(std::uint64_t weightsVersion, std::string_view isolatedAccount)
+std::string cacheSalt(std::uint64_t weightsVersion, std::string_view scope)
 {
-    std::string salt = std::to_string(weightsVersion);
-    if (!isolatedAccount.empty()) {
-        salt.append("/").append(isolatedAccount);
-    }
-    return salt;
+    return std::to_string(weightsVersion).append(scope);
 }
 
 PartKey partKey(std::string_view salt, std::string_view partId)
--- a/packages/gateway/src/route_table.cpp
+++ b/packages/gateway/src/route_table.cpp
@@ -15,10 +15,22 @@
     return result;
 }
 
+std::set<std::string, std::less<>> isolatedNames(const std::vector<Account> &accounts)
+{
+    std::set<std::string, std::less<>> names;
+    for (const Account &account : accounts) {
+        if (account.isolated) {
+            names.insert(account.name);
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 RouteTable::RouteTable(GatewayConfig config)
     : config_(std::move(config))
+    , cacheScopes_(isolatedNames(config_.accounts))
 {
     for (const Route &route : config_.routes) {
         byHost_[toLower(route.host)].push_back(&route);
@@ -79,4 +91,9 @@
     return nullptr;
 }
 
+const CacheScopes &RouteTable::cacheScopes() const
+{
+    return cacheScopes_;
+}
+
 } // namespace Carobhall
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -461,7 +461,7 @@
         anyUsable = true;
         if (version != saltVersion || salt.empty()) {
             saltVersion = version;
-            salt = cacheSalt(saltVersion, demand.isolatedAccount);
+            salt = cacheSalt(saltVersion, demand.cacheScope);
             for (std::size_t i = 0; i < sharedCount; ++i) {
                 keys[i] = partKey(salt, demand.parts[i].id);
             }
--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -178,9 +178,11 @@
 BOOST_AUTO_TEST_CASE(saltsSeparateWeightsAndIsolatedAccounts)
 {
     BOOST_TEST(cacheSalt(3, "") != cacheSalt(4, ""));
-    BOOST_TEST(cacheSalt(3, "a") != cacheSalt(3, ""));
-    BOOST_TEST(cacheSalt(3, "a") != cacheSalt(3, "b"));
-    BOOST_TEST(partKey(cacheSalt(3, "a"), "p") != partKey(cacheSalt(3, "b"), "p"));
+    const CacheScopes scopes({ "a", "b" });
+    BOOST_TEST(cacheSalt(3, scopes.scopeOf("a")) != cacheSalt(3, scopes.scopeOf("")));
+    BOOST_TEST(cacheSalt(3, scopes.scopeOf("a")) != cacheSalt(3, ""));
+    BOOST_TEST(cacheSalt(3, scopes.scopeOf("a")) != cacheSalt(3, scopes.scopeOf("b")));
+    BOOST_TEST(partKey(cacheSalt(3, scopes.scopeOf("a")), "p") != partKey(cacheSalt(3, scopes.scopeOf("b")), "p"));
 }
 
 // Guards against unbounded memory use when prompts hardly share parts, and against entries of an upstream that lost its cache.
