Keep the versions of weights by model

Cause: a gateway kept one version for all models, the highest that any sidecar told. Servers of other models with lower numbers counted as left behind and were excluded 6.4 s later. The sidecar had the same fault: until its server's first report it took the first model that the store named for its own, ordered that model's version, and missed the versions of its own model up to that number.

Change: gateways keep a target and its deadline by model, and compare a server with the target of its own model; the model comes from the sidecar, before that from the list. A gateway tells a sidecar the version of that sidecar's model, once the sidecar has named it; a sidecar that is behind is told at once. A sidecar keeps announcements by model, knows its model only from the server's report, and begins a new rollout when the server comes back with another one; its wave counts the servers of its model. A server of another model is no source of KV cache, whatever its number of version. Log lines name the model (weights_target, engine_model are new). The message has the fields that it had, so that both versions of the programs understand each other.

Ruled out: a list of all models in the message; a sidecar needs the version of its own model only. Not handled: one server with several models.

--- a/packages/gateway/include/carobhall/gateway_config.h
+++ b/packages/gateway/include/carobhall/gateway_config.h
@@ -117,6 +117,7 @@
     bool draining = false;
     std::uint32_t slots = 1;
     std::int64_t startedAtMs = 0;     ///< Unix time; distinguishes successive processes with the same id.
+    std::string model{};              ///< Of `weightsVersion`; empty for plain upstreams.
     std::uint64_t weightsVersion = 0; ///< 0 for plain upstreams.
     std::uint64_t sequence = 0;       ///< Number of the report of the process that the entry shows; starts anew with each process.
     /// The entry may come from the copy that the platform was restored from, so that what it says may be past.
--- a/packages/gateway/include/carobhall/upstream_table.h
+++ b/packages/gateway/include/carobhall/upstream_table.h
@@ -39,6 +39,7 @@
     std::uint32_t running = 0;
     std::uint64_t usedTokens = 0;  ///< KV cache memory that cannot be freed.
     std::uint64_t totalTokens = 0; ///< KV cache memory in total; 0: not known.
+    std::string model{};           ///< Of `weightsVersion`; empty: not known.
     std::uint64_t weightsVersion = 0;
     /// Prompt tokens that other gateways have sent and that await prefill, as far as the sidecar knows.
     std::uint64_t pendingPrefillTokens = 0;
@@ -74,6 +75,11 @@
     {
         return load.weightsVersion != 0 ? load.weightsVersion : record.weightsVersion;
     }
+    /// The model of the weights; empty: not known.
+    [[nodiscard]] const std::string &model() const
+    {
+        return load.model.empty() ? record.model : load.model;
+    }
 };
 
 using UpstreamRef = std::shared_ptr<Upstream>;
@@ -168,8 +174,9 @@
     void update(UpstreamRecord record, Micros now = 0);
     /// The platform's list contains an entry that has not changed, except for its sequence.
     void noteUnchanged(const UpstreamRecord &record);
-    /// A rollout of weights \p version has begun. Engines that keep older weights for too long are no longer chosen.
-    void noteWeightsTarget(std::uint64_t version, Micros now);
+    /// A rollout of weights \p version of \p model has begun. Engines that keep older weights of that model for too long are no longer
+    /// chosen. Versions of different models are not comparable. Ignored unless \p version is the newest of the model so far.
+    void noteWeightsTarget(std::string_view model, std::uint64_t version, Micros now);
     /// Another process answered at the address of \p upstream.
     void noteReplaced(Upstream &upstream);
     /// \p upstream rejected a request because it has other weights than expected; \p weightsVersion is 0 if it did not say which.
@@ -261,6 +268,19 @@
     [[nodiscard]] Transfer bestTransfer(const Upstream &target, std::span<const PartKey> keys, std::span<const std::uint32_t> tokens, std::size_t held,
                                         const EngineTraits &engine) const;
 
+    /// The newest weights of a model.
+    struct WeightsTarget {
+        std::uint64_t version = 0;
+        Micros since = 0; ///< When this process has learned of it.
+    };
+    /// How the weights of an engine compare with the target of its model.
+    enum class WeightsAge : std::uint8_t {
+        Current,
+        Old,     ///< Older ones, within the time for the rollout.
+        Expired, ///< Older ones, beyond that time.
+    };
+    [[nodiscard]] WeightsAge weightsAge(const Upstream &engine, Micros now) const;
+
     Locality locality_;
     std::mt19937_64 random_;
     Micros weightsDeadline_;
@@ -274,8 +294,7 @@
     QueueWaitLimit queueWaitLimit_; ///< Follows the queue delays of long prompts.
     UpstreamRef store_;             ///< The KV cache store. It holds parts like an upstream but is never chosen for requests.
     double storeLinkMbps_ = 0.0;
-    std::uint64_t weightsTarget_ = 0;
-    Micros weightsTargetSince_ = 0;
+    std::map<std::string, WeightsTarget, std::less<>> weightsTargets_; ///< By model.
 };
 
 } // namespace Carobhall
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -605,6 +605,7 @@
                { "address", record->address },
                { "zone", record->zone },
                { "draining", record->draining },
+               { "model", record->model.empty() ? std::string("-") : record->model },
                { "weights", record->weightsVersion },
                { "revision", revisionOf(object.version) } });
     noteIfCrashed(record->id, record->startedAtMs, now);
@@ -688,6 +689,7 @@
         entry["draining"] = upstream->record.draining;
         entry["leaving"] = impl_->upstreams.isShuttingDown(*upstream);
         entry["in_flight"] = upstream->inFlight;
+        entry["model"] = upstream->model();
         entry["weights"] = Json::UInt64(upstream->weightsVersion());
         entry["closed"] = upstream->load.closed;
         entry["failure_share"] = upstream->failureShare;
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -16,6 +16,7 @@
                           if (const auto found = ipOf_.find(connection); found != ipOf_.end()) {
                               Link &link = links_[found->second];
                               link.open = true;
+                              link.model.clear();
                               link.zone = peer.zone;
                               link.lastMessageAt = monotonicNow();
                               // On a new connection the sidecar assumes that this gateway has no pending prefill tokens.
@@ -23,7 +24,7 @@
                                   engine->reportedPrefillTokens = 0;
                               }
                               logEvent(LogLevel::Info, "sidecar_connected", { { "ip", found->second }, { "peer", peer.name } });
-                              endpoint_.send(connection, knownVersions());
+                              endpoint_.send(connection, knownVersions(link));
                               // The sidecar may have restarted and would have nothing to pass on to a gateway that starts.
                               if (const CrashEvidence evidence = options_.crashEvidence(); !evidence.crashes.empty()) {
                                   endpoint_.send(connection, evidence);
@@ -115,7 +116,7 @@
 {
     for (const auto &[ip, link] : links_) {
         if (link.open) {
-            endpoint_.send(link.connection, knownVersions());
+            endpoint_.send(link.connection, knownVersions(link));
         }
     }
 }
@@ -131,10 +132,34 @@
     }
 }
 
-KnownVersions SidecarLinks::knownVersions() const
+KnownVersions SidecarLinks::knownVersions(const Link &link) const
 {
     const ConfigStamp held = options_.configuration();
-    return { .configuration = held.version, .model = model_, .weights = weightsVersion_, .platformEra = options_.platformEra(), .origin = originOf(held) };
+    const auto weights = weightsVersions_.find(link.model);
+    return { .configuration = held.version,
+             .model = link.model,
+             .weights = weights == weightsVersions_.end() ? 0 : weights->second,
+             .platformEra = options_.platformEra(),
+             .origin = originOf(held) };
+}
+
+void SidecarLinks::onWeights(const Link &link, std::uint64_t version, Micros now)
+{
+    std::uint64_t &newest = weightsVersions_[link.model];
+    if (version < newest) {
+        endpoint_.send(link.connection, knownVersions(link));
+    }
+    if (version <= newest) {
+        return;
+    }
+    logEvent(LogLevel::Info, "weights_target", { { "model", link.model }, { "version", version }, { "before", newest } });
+    newest = version;
+    options_.upstreams->noteWeightsTarget(link.model, version, now);
+    for (const auto &[ip, other] : links_) {
+        if (other.open && other.model == link.model) {
+            endpoint_.send(other.connection, knownVersions(other));
+        }
+    }
 }
 
 std::size_t SidecarLinks::openCount() const
@@ -164,6 +189,7 @@
                                .running = status->running,
                                .usedTokens = status->usedTokens,
                                .totalTokens = status->totalTokens,
+                               .model = links_[ip].model,
                                .weightsVersion = status->weightsVersion,
                                .pendingPrefillTokens = status->pendingPrefillTokens,
                                .closing = status->closing,
@@ -183,11 +209,10 @@
         const ConfigStamp offer = stampOf(known->configuration, known->origin);
         options_.onConfigurationOffer(offer);
         configPulls_.addOffer(connection, offer, options_.upstreams->distanceTo(links_[ip].zone));
-        if (known->weights > weightsVersion_) {
-            model_ = known->model;
-            weightsVersion_ = known->weights;
-            options_.upstreams->noteWeightsTarget(weightsVersion_, now);
-            announceVersions();
+        if (!known->model.empty()) {
+            Link &link = links_[ip];
+            link.model = known->model;
+            onWeights(link, known->weights, now);
         }
     } else if (std::holds_alternative<ConfigPull>(message)) {
         const ConfigStamp held = options_.configuration();
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -42,7 +42,7 @@
     /// Sends the pending prefill tokens of this gateway at \p engine to its sidecar immediately, so that the other gateways do not
     /// all choose the same engine.
     void reportPendingPrefill(Upstream &engine);
-    /// Sends the known versions of configuration and weights to all sidecars.
+    /// Sends each sidecar the known versions of the configuration and of the weights of its model.
     void announceVersions();
     /// Sends \p message to a few sidecars, which pass its contents on to all gateways.
     void broadcast(const Message &message);
@@ -66,11 +66,14 @@
         ConnectionId connection = 0;
         bool open = false;
         std::string zone{};
+        std::string model{}; ///< Model of the sidecar's server; empty until the sidecar has named it.
         Micros lastMessageAt = 0;
         Micros connectAfter = 0;
     };
 
-    [[nodiscard]] KnownVersions knownVersions() const;
+    [[nodiscard]] KnownVersions knownVersions(const Link &link) const;
+    /// The sidecar of \p link knows of \p version of the weights of its model.
+    void onWeights(const Link &link, std::uint64_t version, Micros now);
     /// Adds and removes links to match the listed model servers.
     void updateLinks(const RouteTable *routes);
     void onMessage(ConnectionId connection, Message message);
@@ -83,8 +86,8 @@
     std::uint64_t linkedRevision_ = 0;  ///< Revision of the table that links_ matches.
     ConfigStamp linkedConfiguration_{}; ///< Of the configuration that links_ matches.
     ConfigPullScheduler configPulls_;
-    std::string model_;                ///< Model of weightsVersion_.
-    std::uint64_t weightsVersion_ = 0; ///< Newest version known to any sidecar; announced to sidecars that the platform refuses to serve.
+    /// Newest weights version of each model known to any sidecar; announced to sidecars that the platform refuses to serve.
+    std::map<std::string, std::uint64_t, std::less<>> weightsVersions_;
 };
 
 } // namespace Carobhall
--- a/packages/gateway/src/upstream_table.cpp
+++ b/packages/gateway/src/upstream_table.cpp
@@ -98,14 +98,24 @@
     upstream.load.weightsVersion = weightsVersion;
 }
 
-void UpstreamTable::noteWeightsTarget(std::uint64_t version, Micros now)
+void UpstreamTable::noteWeightsTarget(std::string_view model, std::uint64_t version, Micros now)
 {
-    if (version > weightsTarget_) {
-        weightsTarget_ = version;
-        weightsTargetSince_ = now;
+    WeightsTarget &target = weightsTargets_[std::string(model)];
+    if (version > target.version) {
+        target = { .version = version, .since = now };
     }
 }
 
+UpstreamTable::WeightsAge UpstreamTable::weightsAge(const Upstream &engine, Micros now) const
+{
+    const auto target = weightsTargets_.find(engine.model());
+    if (target == weightsTargets_.end() || engine.weightsVersion() >= target->second.version) {
+        return WeightsAge::Current;
+    }
+    const auto rolloutTime = static_cast<Micros>(static_cast<double>(weightsDeadline_) * OldWeightsTimeShare);
+    return now - target->second.since > rolloutTime ? WeightsAge::Expired : WeightsAge::Old;
+}
+
 std::uint64_t UpstreamTable::revision() const
 {
     return revision_;
@@ -132,7 +142,8 @@
     if (!upstream) {
         return false;
     }
-    if (upstream->load.weightsVersion != 0 && upstream->load.weightsVersion != load.weightsVersion) {
+    const bool hasOtherModel = !upstream->load.model.empty() && upstream->load.model != load.model;
+    if (hasOtherModel || (upstream->load.weightsVersion != 0 && upstream->load.weightsVersion != load.weightsVersion)) {
         cacheIndex_.removeHolder(upstream->number);
     }
     upstream->load = load;
@@ -365,8 +376,9 @@
         }
         const bool inSameRegion = sameRegion(target.record.zone, source->record.zone);
         // The store is not used from other regions, because such a transfer occupies its single link for ten times as long. An engine
-        // with another weights version may hold parts computed with those weights, and one that is gone costs a timeout.
-        if (isStore ? !inSameRegion : !source->present || isShuttingDown(*source) || source->weightsVersion() != target.weightsVersion()) {
+        // with other weights may hold parts computed with those weights, and one that is gone costs a timeout.
+        const bool hasSameWeights = source->model() == target.model() && source->weightsVersion() == target.weightsVersion();
+        if (isStore ? !inSameRegion : !source->present || isShuttingDown(*source) || !hasSameWeights) {
             continue;
         }
         std::size_t depth = 0;
@@ -450,12 +462,11 @@
     const std::vector<const Upstream *> reserved = shortPromptEngines(demand.service);
     const bool isShort = promptTokens <= MaxShortPromptTokens;
     const std::string owner = sharedCount == 0 ? std::string() : prefillOwner(demand.parts[sharedCount - 1], upstreams);
-    const bool oldWeightsExcluded = now - weightsTargetSince_ > static_cast<Micros>(static_cast<double>(weightsDeadline_) * OldWeightsTimeShare);
     for (const UpstreamRef &upstream : upstreams) {
         const std::uint64_t version = upstream->weightsVersion();
-        const bool hasOldWeights = version < weightsTarget_;
+        const WeightsAge age = weightsAge(*upstream, now);
         const double capacityTokens = static_cast<double>(upstream->load.totalTokens != 0 ? upstream->load.totalTokens : engine.cacheTokens);
-        if (upstream->load.closed || version == 0 || (hasOldWeights && oldWeightsExcluded) || static_cast<double>(memoryTokens) > capacityTokens) {
+        if (upstream->load.closed || version == 0 || age == WeightsAge::Expired || static_cast<double>(memoryTokens) > capacityTokens) {
             continue;
         }
         anyUsable = true;
@@ -493,7 +504,7 @@
         const bool isReserved = std::ranges::find(reserved, upstream.get()) != reserved.end();
         const double groupPenalty = reserved.empty() || isReserved == isShort ? 0.0 : isShort ? ShortOnLongPromptEnginePenalty : LongOnShortPromptEnginePenalty;
         double cost = delay + groupPenalty + duplicateTokens * DuplicatePrefillPenaltyPerToken + transferredTokens * TransferPenaltyPerToken
-            + distancePenalty(upstream->record.zone) + upstream->failureShare * FailurePenalty + (hasOldWeights ? OldWeightsPenalty : 0.0)
+            + distancePenalty(upstream->record.zone) + upstream->failureShare * FailurePenalty + (age == WeightsAge::Old ? OldWeightsPenalty : 0.0)
             + (upstream->load.closing ? ClosingEnginePenalty : 0.0) + (upstream->loadAt == 0 ? UnknownEnginePenalty : 0.0);
         // Beyond the watermark the request waits until others end, or makes the engine preempt them.
         const double usedTokens = static_cast<double>(upstream->load.usedTokens + upstream->unreportedMemoryTokens);
--- a/packages/gateway/tests/decisions_test.cpp
+++ b/packages/gateway/tests/decisions_test.cpp
@@ -37,7 +37,7 @@
     void addEngine(const std::string &id, const std::string &zone, std::uint64_t weights)
     {
         const std::string ip = "10.1." + std::to_string(zone[0] - 'a') + "." + id.substr(1);
-        table.update({ .id = id, .service = "llm", .address = ip + ":80", .zone = zone, .slots = 96, .weightsVersion = weights });
+        table.update({ .id = id, .service = "llm", .address = ip + ":80", .zone = zone, .slots = 96, .model = "m", .weightsVersion = weights });
         ipOf[id] = ip;
         report(id, { .totalTokens = 83'645, .weightsVersion = weights }, 1);
     }
@@ -355,7 +355,7 @@
     for (const auto &[id, ip] : fleet.ipOf) {
         fleet.report(id, { .totalTokens = 83'645, .weightsVersion = id == "a1" ? 1U : 2U }, Second);
     }
-    fleet.table.noteWeightsTarget(2, Second);
+    fleet.table.noteWeightsTarget("m", 2, Second);
     for (const auto &[id, ip] : fleet.ipOf) {
         if (id != "a1") {
             fleet.report(id, { .totalTokens = 83'645, .weightsVersion = 2, .closed = true }, Second);
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -36,8 +36,13 @@
     /// Tells the gateways if \p reply announces the shutdown of the server process that `report` describes.
     void noteLeaving(const HttpReply &reply);
     void sendOrder(const RolloutStep &step);
-    void onWeightsAnnounced(const std::string &model, std::uint64_t version, std::string_view source);
-    void computeWave(std::uint64_t version, Micros now);
+    /// The server has reported that it serves \p served.
+    void onModel(const std::string &served);
+    void onWeightsAnnounced(const std::string &announcedModel, std::uint64_t version, std::string_view source);
+    /// Begins the rollout of the newest announced version of the server's model, unless it has begun.
+    void computeWave(Micros now);
+    /// The newest announced version of the server's model; 0: none, or the model is not known yet.
+    [[nodiscard]] std::uint64_t announcedVersion() const;
     void adoptConfig(const Json::Value &spec, ConfigStamp stamp);
     /// Tells the gateways the known versions.
     void announceVersions();
@@ -73,10 +78,11 @@
     CacheFeed feed;
     std::vector<CacheChange> pendingChanges;
     bool pendingCacheReset = false;
-    std::string model;
-    std::string engineInstance;         ///< Id of the server process, from the platform's server list or the server's replies.
-    std::uint64_t announcedVersion = 0; ///< Newest version announced; passed to the rollout once its wave is computed.
-    HeldConfig heldConfig;              ///< Stamp of configText.
+    std::string model;          ///< Of the server; empty until its first report.
+    std::string engineInstance; ///< Id of the server process, from the platform's server list or the server's replies.
+    /// Newest announced version of each model; that of `model` is passed to the rollout once its wave is computed.
+    std::map<std::string, std::uint64_t, std::less<>> announcedVersions;
+    HeldConfig heldConfig; ///< Stamp of configText.
     std::string configText;
     /// The reports of the gateways on limits of upstreams, by gateway, and when each was received.
     std::map<std::string, std::pair<LimitReport, Micros>, std::less<>> limitReports;
@@ -210,13 +216,33 @@
         // Loading new weights invalidates the KV cache.
         feed.clear();
     }
+    if (!decoded->model.empty() && decoded->model != model) {
+        onModel(decoded->model);
+    }
     hasReport = true;
     report = *decoded;
+    noteLeaving(reply);
+}
 
-    if (!decoded->model.empty()) {
-        model = decoded->model;
+void Sidecar::Impl::onModel(const std::string &served)
+{
+    logEvent(LogLevel::Info, "engine_model", { { "model", served }, { "before", model.empty() ? std::string("-") : model } });
+    if (!model.empty()) {
+        feed.clear();
+        rollout = WeightsRollout();
     }
-    noteLeaving(reply);
+    model = served;
+    // Gateways relate the versions in later statuses to this model.
+    announceVersions();
+    if (announcedVersion() > 0) {
+        computeWave(monotonicNow());
+    }
+}
+
+std::uint64_t Sidecar::Impl::announcedVersion() const
+{
+    const auto found = announcedVersions.find(model);
+    return found == announcedVersions.end() ? 0 : found->second;
 }
 
 void Sidecar::Impl::noteLeaving(const HttpReply &reply)
@@ -235,11 +261,12 @@
     // The version serves as the fencing token: it never decreases, and no other process sends orders to this server.
     HttpCall call = options.engine.orderCall(options.settings.engineAddress, options.settings.name, model, step, step.version);
     call.timeout = EngineCallTimeout;
-    http.send(std::move(call), [this, version = step.version, sequence = step.sequence](const HttpReply &reply) {
+    http.send(std::move(call), [this, orderedModel = model, version = step.version, sequence = step.sequence](const HttpReply &reply) {
         orderInFlight = false;
         const OrderResult result = options.engine.decodeOrder(reply);
         logEvent(LogLevel::Info, "weights_ordered",
-                 { { "version", version },
+                 { { "model", orderedModel },
+                   { "version", version },
                    { "sequence", sequence },
                    { "result", result },
                    { "status", reply.status },
@@ -253,50 +280,59 @@
         if (result != OrderResult::Misdirected) {
             noteLeaving(reply);
         }
-        rollout.onOrderResult(result, monotonicNow());
+        if (orderedModel == model) {
+            rollout.onOrderResult(result, monotonicNow());
+        }
         nextReportAt = 0;
     });
 }
 
 void Sidecar::Impl::onWeightsAnnounced(const std::string &announcedModel, std::uint64_t version, std::string_view source)
 {
-    if (version <= std::max(rollout.target(), announcedVersion) || (!model.empty() && announcedModel != model)) {
+    std::uint64_t &newest = announcedVersions[announcedModel];
+    if (version <= newest) {
         return;
     }
-    logEvent(LogLevel::Info, "weights_named", { { "model", announcedModel }, { "version", version }, { "before", rollout.target() }, { "source", source } });
-    if (model.empty()) {
-        model = announcedModel;
+    if (announcedModel == model || model.empty()) {
+        logEvent(LogLevel::Info, "weights_named", { { "model", announcedModel }, { "version", version }, { "before", newest }, { "source", source } });
+    }
+    newest = version;
+    if (announcedModel == model) {
+        computeWave(monotonicNow());
     }
-    announcedVersion = version;
-    computeWave(version, monotonicNow());
 }
 
-void Sidecar::Impl::computeWave(std::uint64_t version, Micros now)
+void Sidecar::Impl::computeWave(Micros now)
 {
     // A wave is only a share of the time, so a list that is seconds old is good enough.
-    options.platform->call(staleListCall(options.objectCodec.upstreamKind), now, [this, version](const PlatformReply &reply, Micros at) {
-        std::vector<RolloutMember> members;
-        for (const PlatformObject &object : reply.items) {
-            if (const auto record = options.objectCodec.decodeUpstream(object);
-                record && record->service == options.settings.engineService && !record->draining) {
-                members.push_back({ .id = record->id, .zone = record->zone, .address = record->address });
-                if (record->address == options.settings.engineAddress) {
-                    engineInstance = record->id;
+    options.platform->call(
+        staleListCall(options.objectCodec.upstreamKind), now, [this, rolledOut = model, version = announcedVersion()](const PlatformReply &reply, Micros at) {
+            if (rolledOut != model) {
+                return;
+            }
+            std::vector<RolloutMember> members;
+            for (const PlatformObject &object : reply.items) {
+                if (const auto record = options.objectCodec.decodeUpstream(object);
+                    record && record->service == options.settings.engineService && !record->draining && (record->model.empty() || record->model == model)) {
+                    members.push_back({ .id = record->id, .zone = record->zone, .address = record->address });
+                    if (record->address == options.settings.engineAddress) {
+                        engineInstance = record->id;
+                    }
                 }
             }
-        }
-        std::optional<std::uint32_t> wave = waveOf(members, options.settings.engineAddress);
-        if (!wave) {
-            // The server is not listed or the list is unavailable. A wave derived from the hash of the address spreads the orders too.
-            wave = static_cast<std::uint32_t>(std::hash<std::string>{}(options.settings.engineAddress) % MaxWaves);
-        }
-        logEvent(LogLevel::Info, "weights_wave", { { "version", version }, { "wave", *wave }, { "members", members.size() }, { "error", reply.error } });
-        if (options.onFleetSize && !members.empty()) {
-            options.onFleetSize(static_cast<std::uint32_t>(members.size()));
-        }
-        rollout.setTarget(version, *wave, at);
-        announceVersions();
-    });
+            std::optional<std::uint32_t> wave = waveOf(members, options.settings.engineAddress);
+            if (!wave) {
+                // The server is not listed or the list is unavailable. A wave derived from the hash of the address spreads the orders too.
+                wave = static_cast<std::uint32_t>(std::hash<std::string>{}(options.settings.engineAddress) % MaxWaves);
+            }
+            logEvent(LogLevel::Info, "weights_wave",
+                     { { "model", model }, { "version", version }, { "wave", *wave }, { "members", members.size() }, { "error", reply.error } });
+            if (options.onFleetSize && !members.empty()) {
+                options.onFleetSize(static_cast<std::uint32_t>(members.size()));
+            }
+            rollout.setTarget(version, *wave, at);
+            announceVersions();
+        });
 }
 
 void Sidecar::Impl::adoptConfig(const Json::Value &spec, ConfigStamp stamp)
@@ -329,7 +365,7 @@
 {
     return { .configuration = heldConfig.stamp().version,
              .model = model,
-             .weights = std::max(announcedVersion, rollout.target()),
+             .weights = announcedVersion(),
              .platformEra = options.platform->era(),
              .origin = originOf(heldConfig.stamp()) };
 }
@@ -345,7 +381,7 @@
             announceVersions();
         }
         configPulls.addOffer(connection, offer, distanceBetween(here, gatewayZones[connection]));
-        if (peer->weights > rollout.target() && !peer->model.empty()) {
+        if (peer->weights > 0 && !peer->model.empty()) {
             onWeightsAnnounced(peer->model, peer->weights, "peer");
         }
     } else if (const auto *const demand = std::get_if<PendingPrefill>(&message)) {
@@ -449,6 +485,8 @@
 
 void Sidecar::Impl::sendSnapshot(ConnectionId connection)
 {
+    // First, because the gateway relates the weights version in a status to the model.
+    endpoint.send(connection, knownVersions());
     EngineStatus message = engineStatus();
     message.cacheReset = true;
     for (const auto &[salt, part] : feed.cachedParts()) {
@@ -460,7 +498,6 @@
         }
     }
     endpoint.send(connection, message);
-    endpoint.send(connection, knownVersions());
     if (const CrashEvidence evidence = crashEvidence.all(monotonicNow()); !evidence.crashes.empty()) {
         endpoint.send(connection, evidence);
     }
@@ -489,6 +526,7 @@
 Json::Value Sidecar::dump() const
 {
     Json::Value state(Json::objectValue);
+    state["model"] = impl_->model;
     state["weights"] = Json::UInt64(impl_->report.weightsVersion);
     state["target"] = Json::UInt64(impl_->rollout.target());
     state["closed"] = impl_->closed;
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -337,10 +337,10 @@
 /// The newest versions known to a process. Peers that get no updates from the platform learn of new versions this way.
 struct KnownVersions {
     std::uint64_t configuration = 0; ///< Version of the environment document.
-    std::string model;
-    std::uint64_t weights = 0;     ///< Version of the weights designated for `model`; 0: none is known.
-    std::uint64_t platformEra = 0; ///< Newest era of the platform that the sender knows of; 0: none. Older versions of the program do not set this.
-    DocumentOrigin origin{};       ///< Of the environment document; likewise.
+    std::string model;               ///< Of the sidecar's server, in both directions; empty: the sender does not know it yet.
+    std::uint64_t weights = 0;       ///< Version of the weights designated for `model`; 0: none is known.
+    std::uint64_t platformEra = 0;   ///< Newest era of the platform that the sender knows of; 0: none. Older versions of the program do not set this.
+    DocumentOrigin origin{};         ///< Of the environment document; likewise.
 
     MSGPACK_DEFINE(configuration, model, weights, platformEra, origin)
 };
