--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -24,8 +24,8 @@
     PoisonRequestDetector *poisonRequests = nullptr;
     Metrics *metrics = nullptr;
     const ExchangeCodec *codec = nullptr;
-    std::function<void(Upstream &)> onPrefillQueued{};           ///< A prompt was sent to a model server and awaits prefill.
-    std::function<void(const UpstreamRef &)> onConnectionLost{}; ///< A connection broke while the upstream may have been running a request.
+    std::function<void(Upstream &)> onPrefillQueued{};                  ///< A prompt was sent to a model server and awaits prefill.
+    std::function<void(const UpstreamRef &)> onConnectionLost{};        ///< A connection broke while the upstream may have been running a request.
     std::function<std::shared_ptr<const RouteTable>()> currentRoutes{}; ///< Of the newest configuration; null while none has arrived.
     const ShutdownAdmission *admission = nullptr;
     std::mt19937_64 *random = nullptr;
