--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -310,10 +310,13 @@
             if (rolledOut != model) {
                 return;
             }
+            const auto isMember = [this](const UpstreamRecord &record) {
+                const bool hasModel = record.model.empty() || record.model == model;
+                return hasModel && record.service == options.settings.engineService && !record.draining;
+            };
             std::vector<RolloutMember> members;
             for (const PlatformObject &object : reply.items) {
-                if (const auto record = options.objectCodec.decodeUpstream(object);
-                    record && record->service == options.settings.engineService && !record->draining && (record->model.empty() || record->model == model)) {
+                if (const auto record = options.objectCodec.decodeUpstream(object); record && isMember(*record)) {
                     members.push_back({ .id = record->id, .zone = record->zone, .address = record->address });
                     if (record->address == options.settings.engineAddress) {
                         engineInstance = record->id;
