Split the gateway's implementation into the process and its intake

Change: the class is declared in gateway_impl.h; what arrives from the store and from peers is in gateway_intake.cpp. No other change.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,14 +1,8 @@
-#include "carobhall/gateway.h"
-
-#include "crash_evidence_store.h"
-#include "crash_probe.h"
-#include "exchange.h"
-#include "sidecar_links.h"
+#include "gateway_impl.h"
 
 #include <sodium.h>
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace Carobhall
 {
@@ -16,18 +10,10 @@
 namespace
 {
 
-/// Responses of the KV cache store may cross regions. A long delay collects more events into each of them.
-constexpr Micros StorePollDelay = 200 * MicrosPerMilli;
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Interval of Impl::tick().
 /// After a restore of the platform, the operator has this long to write again what was acknowledged. Then the platform's
 /// configuration is authoritative, whatever was held before.
 constexpr Micros ConfigRestoreGrace = 5 * MicrosPerSecond;
-
-/// How long a gateway that starts on a store that was restored waits for what its peers hold, and how many of them suffice.
-constexpr Micros ConfigConfirmLimit = MicrosPerSecond;
-constexpr unsigned ConfigConfirmingPeers = 3;
-/// Era of a platform that was never restored.
-constexpr std::uint64_t FirstEra = 1;
 /// Interval at which newly blocked features are looked for. A restart of all processes within less of a crash is a rare accident.
 constexpr Micros EvidenceSaveInterval = 250 * MicrosPerMilli;
 
@@ -49,90 +35,6 @@
     return keys;
 }
 
-struct Gateway::Impl {
-    explicit Impl(GatewayOptions gatewayOptions);
-
-    std::error_code start();
-    void beginShutdown();
-    void tick();
-    void checkStop(Micros now);
-    /// Counts the bytes of responses that are held, and lets exchanges read and forward as much as that allows.
-    void checkResponseBudget();
-    /// \p elapsed: time since the beginning of the shutdown.
-    void endProcess(Micros elapsed);
-    void onAccept(int descriptor);
-    void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
-    void onCallerClosed(CallerConnection &caller, ConnectionEnd end);
-    /// Logs and counts a response that the caller has not taken whole, if there is one.
-    void reportCut(const CallerConnection &caller);
-    /// Forgets the closed connections that have ended, and logs those whose callers did not get all bytes.
-    void removeEnded();
-    /// Logs the idle connections that were closed since the last call, in one line.
-    void reportIdleCloses(Micros now);
-    /// Takes \p spec into use if it is newer than what is held. \p stamp: what the source tells of it; the version is that of the spec.
-    void adoptConfig(const Json::Value &spec, ConfigStamp stamp, std::string_view source);
-    void onConfigObject(const PlatformObject &object, bool isSettled);
-    void onPeerConfig(const ConfigData &data);
-    /// Uses the first configuration once peers have confirmed it, or after a limit.
-    void confirmConfig(Micros now);
-    void subscribeToCacheStore();
-    void onUpstream(const PlatformObject &object, Micros now);
-    /// The list shows a process of upstream \p id that started at \p startedAtMs, or nothing more of \p id. Reports a crash of the known one if
-    /// that follows.
-    void noteIfCrashed(const std::string &id, std::optional<std::int64_t> startedAtMs, Micros now);
-    void noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now);
-    /// Sends what this gateway has learned of requests that crash upstreams to the others.
-    void shareCrashEvidence(Micros now);
-    /// Removes the features that had sound runs from the platform's store.
-    void removeDisproved(const CrashEvidence &evidence, Micros now);
-    [[nodiscard]] bool isReady() const;
-    static void onReadiness(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query, gpointer self);
-
-    GatewayOptions options;
-    Metrics ownMetrics;
-    Metrics &metrics;
-    std::mt19937_64 random;
-    UpstreamTable upstreams;
-    UpstreamPool pool;
-    RetryBudget retries;
-    ResponseBudget responseBudget;
-    bool wasBudgetTight = false;
-    PoisonRequestDetector poisonRequests;
-    CrashProbe crashProbe;
-    ShutdownAdmission admission;
-    ExchangeContext context;
-    std::shared_ptr<const RouteTable> routes;
-    CallerLimitHistory callerLimits;
-    HeldConfig heldConfig; ///< Stamp of `routes`.
-    /// `routes` may be the older copy of a restored store and are not used until then; 0: they are used.
-    Micros configUnconfirmedUntil = 0;
-    unsigned configConfirmations = 0; ///< Offers of peers that were not newer than `routes`.
-    ChannelListener listener;
-    ObjectRef<SoupServer> readiness;
-    std::unique_ptr<AdminListener> admin;
-    std::unordered_set<std::shared_ptr<CallerConnection>> callers;
-    std::unordered_set<std::shared_ptr<CallerConnection>> closing; ///< Closed connections whose last bytes are in transit.
-    std::unordered_set<std::shared_ptr<Exchange>> exchanges;
-    std::unique_ptr<ObjectWatcher> configWatcher;
-    std::unique_ptr<ObjectWatcher> upstreamWatcher;
-    std::unique_ptr<SidecarLinks> links;
-    std::unique_ptr<CrashEvidenceStore> crashEvidenceStore;
-    Micros nextEvidenceSaveAt = 0;
-    HttpClient http;
-    std::unique_ptr<CacheFeed> cacheStoreFeed;
-    std::string cacheStoreAddress;
-    Timer ticker;
-    Micros nextLimitReportAt = 0;
-    std::uint64_t idleCloses = 0; ///< Since the last line about them.
-    std::uint64_t stopCloses = 0;
-    Micros stoppingSince = 0;
-    bool listenerStopped = false;
-    bool stopped = false; ///< All connections were closed; their last bytes may be in transit.
-    bool ended = false;   ///< onStopped was called.
-    bool platformReachable = true;
-    bool wasReady = false;
-};
-
 Gateway::Impl::Impl(GatewayOptions gatewayOptions)
     : options(std::move(gatewayOptions))
     , metrics(options.metrics != nullptr ? *options.metrics : ownMetrics)
@@ -510,145 +412,6 @@
     }
 }
 
-void Gateway::Impl::onConfigObject(const PlatformObject &object, bool isSettled)
-{
-    adoptConfig(object.spec, { .era = eraOf(object.version), .isEraCertain = object.isWrittenInEra || isSettled }, "platform");
-}
-
-void Gateway::Impl::onPeerConfig(const ConfigData &data)
-{
-    if (const auto spec = parseJson(data.text)) {
-        adoptConfig(*spec, stampOf(data.version, data.origin), "peer");
-    } else {
-        logEvent(LogLevel::Error, "configuration_unreadable", { { "source", "peer" }, { "bytes", data.text.size() } });
-    }
-}
-
-void Gateway::Impl::adoptConfig(const Json::Value &spec, ConfigStamp stamp, std::string_view source)
-{
-    std::optional<GatewayConfig> config = options.objectCodec.decodeConfig(spec);
-    if (!config) {
-        logEvent(LogLevel::Error, "configuration_unreadable", { { "source", source } });
-        return;
-    }
-    config->text = writeJson(spec);
-    stamp.version = config->version;
-    stamp.digest = configDigest(config->text);
-    const ConfigStamp before = heldConfig.stamp();
-    const ConfigRelation relation = heldConfig.offer(stamp);
-    if (relation == ConfigRelation::Older && source == "platform") {
-        logEvent(LogLevel::Warning, "configuration_held_back",
-                 { { "version", stamp.version }, { "era", stamp.era }, { "held", before.version }, { "held_era", before.era } });
-    }
-    if (relation == ConfigRelation::Newer) {
-        logEvent(LogLevel::Info, "configuration_in_effect",
-                 { { "version", config->version },
-                   { "before", before.version },
-                   { "source", source },
-                   { "era", stamp.era },
-                   { "era_certain", heldConfig.stamp().isEraCertain },
-                   { "routes", config->routes.size() },
-                   { "accounts", config->accounts.size() } });
-        callerLimits.adopt(config->limits, monotonicNow());
-        routes = std::make_shared<RouteTable>(std::move(*config));
-        const bool mayBeCopy = before.version == 0 && source == "platform" && stamp.era > FirstEra && !stamp.isEraCertain;
-        configUnconfirmedUntil = mayBeCopy ? monotonicNow() + ConfigConfirmLimit : 0;
-        configConfirmations = 0;
-        subscribeToCacheStore();
-    }
-    if (source == "platform" && heldConfig.stamp() != before) {
-        links->announceVersions();
-    }
-}
-
-void Gateway::Impl::confirmConfig(Micros now)
-{
-    if (configUnconfirmedUntil == 0) {
-        return;
-    }
-    const bool hasNoPeers = upstreams.readyCount({}) > 0 && !links->hasLinks();
-    if (hasNoPeers || configConfirmations >= ConfigConfirmingPeers || now >= configUnconfirmedUntil) {
-        logEvent(LogLevel::Info, "configuration_confirmed", { { "version", heldConfig.stamp().version }, { "peers", configConfirmations } });
-        configUnconfirmedUntil = 0;
-    }
-}
-
-void Gateway::Impl::subscribeToCacheStore()
-{
-    const Service *const store = routes->cacheStore();
-    if (store == nullptr || store->cacheStoreAddress == cacheStoreAddress) {
-        return;
-    }
-    cacheStoreAddress = store->cacheStoreAddress;
-    upstreams.setCacheStore(*store);
-    cacheStoreFeed = std::make_unique<CacheFeed>(CacheFeedOptions{
-        .http = &http,
-        .codec = options.feed,
-        .address = cacheStoreAddress,
-        .pollDelay = StorePollDelay,
-        .onChange = [this](const CacheChange &change) { upstreams.noteStoredPart(change.salt, change.part, change.held, monotonicNow()); },
-        .onReset = [this] { upstreams.clearStoredParts(); },
-    });
-}
-
-void Gateway::Impl::onUpstream(const PlatformObject &object, Micros now)
-{
-    std::optional<UpstreamRecord> record = options.objectCodec.decodeUpstream(object);
-    if (!record) {
-        logEvent(LogLevel::Warning, "upstream_unreadable", { { "name", object.name }, { "revision", revisionOf(object.version) } });
-        upstreams.remove(object.name, now);
-        return;
-    }
-    logEvent(LogLevel::Info, "upstream",
-             { { "upstream", record->id },
-               { "service", record->service },
-               { "address", record->address },
-               { "zone", record->zone },
-               { "draining", record->draining },
-               { "model", record->model.empty() ? std::string("-") : record->model },
-               { "weights", record->weightsVersion },
-               { "revision", revisionOf(object.version) } });
-    noteIfCrashed(record->id, record->startedAtMs, now);
-    record->mayBeCopied = !object.isWrittenInEra;
-    upstreams.update(std::move(*record), now);
-}
-
-void Gateway::Impl::noteIfCrashed(const std::string &id, std::optional<std::int64_t> startedAtMs, Micros now)
-{
-    if (const UpstreamRef crashed = upstreams.crashedProcess(id, startedAtMs)) {
-        noteCrashed(crashed->record, "list", now);
-    }
-}
-
-void Gateway::Impl::noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now)
-{
-    logEvent(LogLevel::Info, "upstream_crashed", { { "upstream", record.id }, { "address", record.address }, { "evidence", evidence } });
-    poisonRequests.noteProcessCrashed(upstreamIncarnation(record.id, record.startedAtMs), now);
-    shareCrashEvidence(now);
-}
-
-void Gateway::Impl::shareCrashEvidence(Micros now)
-{
-    const CrashEvidence news = poisonRequests.takeNews(now);
-    if (news.crashes.empty() && news.sound.empty()) {
-        return;
-    }
-    logEvent(LogLevel::Info, "crash_evidence",
-             { { "suspected", news.crashes.size() },
-               { "first_suspected", news.crashes.empty() ? std::string("-") : toHex(news.crashes.front().feature) },
-               { "cleared", news.sound.size() },
-               { "first_cleared", news.sound.empty() ? std::string("-") : toHex(news.sound.front().feature) } });
-    links->broadcast(news);
-    removeDisproved(news, now);
-}
-
-void Gateway::Impl::removeDisproved(const CrashEvidence &evidence, Micros now)
-{
-    for (const SoundRecord &record : evidence.sound) {
-        crashEvidenceStore->remove(record.feature, now);
-    }
-}
-
 void Gateway::Impl::onReadiness(SoupServer * /*server*/, SoupServerMessage *message, const char *path, GHashTable * /*query*/, gpointer self)
 {
     const auto &impl = *static_cast<Impl *>(self);
