Hold quotas of accounts over all gateways

Change: AccountQuotas gives each gateway a share of an account's rate that follows the demand; reports and sums go through the sidecars (QuotaRelay). Requests beyond the share get 429 with the time until it allows them. Unusable quotas are logged and left out.

--- a/packages/gateway/include/carobhall/exchange_codec.h
+++ b/packages/gateway/include/carobhall/exchange_codec.h
@@ -19,6 +19,7 @@
     std::vector<PromptPart> parts{};
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; ///< Maximum.
+    bool namesTokens = false;       ///< The request says how many tokens it has.
     std::string resumeAfter{};      ///< Id of the last stream event that the caller has received; empty: start of the stream.
 };
 
--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -13,6 +13,7 @@
 //   2. PlatformObjectCodec
 //   3. Gateway
 
+#include "carobhall/account_quotas.h"
 #include "carobhall/cache_feed.h"
 #include "carobhall/crash_evidence.h"
 #include "carobhall/exchange_codec.h"
@@ -46,6 +47,7 @@
     Micros retryWindow = 10 * MicrosPerSecond;
     Micros drainTime = 4 * MicrosPerSecond;                         ///< An upstream gets no request this long after its entry says that it is draining.
     Micros weightsDeadline = UpstreamTable::DefaultWeightsDeadline; ///< No request starts on weights that were replaced this long ago.
+    QuotaTolerance quotaTolerance{};                                ///< By how much accounts may exceed their quotas.
 };
 
 // 2. PlatformObjectCodec --------------------------------------------------------------------------
--- a/packages/gateway/include/carobhall/gateway_config.h
+++ b/packages/gateway/include/carobhall/gateway_config.h
@@ -83,11 +83,36 @@
     double cacheStoreLinkMbps = 0.0;
 };
 
+/// What the quota of an account counts.
+enum class QuotaUnit : std::uint8_t {
+    Requests,
+    Tokens, ///< Of the prompt and the most that may be generated.
+};
+
+template<>
+struct EnumNames<QuotaUnit> {
+    static constexpr std::array rows{
+        EnumName{ QuotaUnit::Requests, "requests" },
+        EnumName{ QuotaUnit::Tokens, "tokens" },
+    };
+};
+
+/// How much all gateways together may send to upstreams for an account.
+struct AccountQuota {
+    double perSecond = 0.0; ///< Above 0.
+    double burst = 0.0;     ///< Beyond the rate, at once.
+    QuotaUnit unit = QuotaUnit::Requests;
+    double plainTokens = 1.0; ///< Cost of a request that names no tokens, if the unit is tokens.
+
+    bool operator==(const AccountQuota &) const = default;
+};
+
 struct Account {
     std::string name{};
     std::vector<std::string> keys{};
     std::optional<std::uint32_t> priority{}; ///< Overrides the priority of the route.
     bool isolated = false;                   ///< Does not share cached prompt parts with other accounts.
+    std::optional<AccountQuota> quota{};     ///< Empty: unlimited.
 };
 
 struct CallerLimits {
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -106,12 +106,52 @@
         return;
     }
     options_.context->retries->noteRequest(service_->name, now);
+    if (!takeQuota(now)) {
+        return;
+    }
     handover_ = AttemptHandover(route_->maxAttempts);
     lastEventId_ = request_.resumeAfter;
     deadlineTimer_.startOnce(timeout, [this] { onDeadline(); });
     attempt();
 }
 
+bool Exchange::takeQuota(Micros now)
+{
+    if (account_ == nullptr || !account_->quota) {
+        return true;
+    }
+    AccountQuotas &quotas = *options_.context->quotas;
+    const std::optional<double> tokens = request_.namesTokens
+        ? std::optional(static_cast<double>(request_.promptTokens) + static_cast<double>(request_.outputTokens))
+        : std::nullopt;
+    quotaCost_ = quotas.costOf(account_->name, tokens);
+    const QuotaDecision decision = quotas.take(account_->name, quotaCost_, now);
+    if (decision.admitted) {
+        quotaPermits_ = 1;
+        return true;
+    }
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    options_.caller->respond(429, { { "Retry-After", formatSeconds(decision.retryAfter) } }, {});
+    finish(429, "quota");
+    return false;
+}
+
+void Exchange::noteQuotaSent(Micros now)
+{
+    if (quotaPermits_ > 0) {
+        --quotaPermits_;
+    } else if (quotaCost_ > 0.0) {
+        options_.context->quotas->charge(account_->name, quotaCost_, now);
+    }
+}
+
+void Exchange::noteQuotaNotRun()
+{
+    if (quotaCost_ > 0.0) {
+        ++quotaPermits_;
+    }
+}
+
 std::span<const RequestFeature> Exchange::features()
 {
     if (features_.empty()) {
@@ -527,6 +567,10 @@
     inactivityTimer_.stop();
     dropStandby(AttemptResult::Abandoned);
     const Micros now = monotonicNow();
+    if (quotaPermits_ > 0) {
+        options_.context->quotas->giveBack(account_->name, quotaPermits_ * quotaCost_, now);
+        quotaPermits_ = 0;
+    }
     if (verdict_ == Verdict::Ran) {
         noteSound(now);
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -5,6 +5,7 @@
 #include "caller_connection.h"
 #include "upstream_pool.h"
 
+#include "carobhall/account_quotas.h"
 #include "carobhall/attempt_handover.h"
 #include "carobhall/event_stream.h"
 #include "carobhall/poison_request_detector.h"
@@ -20,6 +21,7 @@
     UpstreamTable *upstreams = nullptr;
     UpstreamPool *pool = nullptr;
     RetryBudget *retries = nullptr;
+    AccountQuotas *quotas = nullptr;
     ResponseBudget *responseBudget = nullptr;
     PoisonRequestDetector *poisonRequests = nullptr;
     Metrics *metrics = nullptr;
@@ -144,6 +146,12 @@
     void giveUp(std::string_view reason, Micros retryAfter, unsigned failureStatus = 502);
     /// Responds with an error and a Retry-After header: the request has not run and can be sent again.
     void refuse(unsigned status, std::string_view reason, Micros retryAfter);
+    /// Takes permits of the account's quota for the first attempt. Otherwise responds that the request is beyond the quota.
+    [[nodiscard]] bool takeQuota(Micros now);
+    /// The request is sent to an upstream, which may run it.
+    void noteQuotaSent(Micros now);
+    /// An upstream that the request was sent to has not run it and will not.
+    void noteQuotaNotRun();
     /// Responds with an error without Retry-After.
     void fail(unsigned status, std::string_view reason);
     /// Logs and counts the result, and calls onFinished.
@@ -179,7 +187,9 @@
     Timer inactivityTimer_; ///< Also the wait of resume().
     Timer overlapTimer_;
     bool retryReserved_ = false; ///< See reserveRetry().
-    bool isWaiting_ = false;     ///< resume() waits until an upstream can take the request.
+    double quotaCost_ = 0.0;
+    unsigned quotaPermits_ = 0; ///< Permits of the account's quota, of quotaCost_ each, that were taken for attempts that have not been sent.
+    bool isWaiting_ = false;    ///< resume() waits until an upstream can take the request.
     EventSplitter events_;
     bool attemptForwards_ = false; ///< The current attempt has contributed events to the response.
     std::string lastEventId_;
--- a/packages/gateway/src/exchange_attempt.h
+++ b/packages/gateway/src/exchange_attempt.h
@@ -31,6 +31,7 @@
     UpstreamInstructions instructions;
     Micros startedAt = 0;
     Micros lastProgressAt = 0;   ///< The request was sent, or an event with data arrived.
+    bool isSent = false;         ///< The request was sent, also if the connection ends before any byte has left.
     bool prefillPending = false; ///< The engine has not produced the first token.
 };
 
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -215,6 +215,8 @@
         options_.context->onPrefillQueued(*target.upstream);
         options_.context->upstreams->notePrefillStarted(*target.upstream, target.choice.salt, request_.parts, now);
     }
+    noteQuotaSent(now);
+    target.isSent = true;
     target.lastProgressAt = now;
     target.instructions.timeout = deadline_ - now - ReturnMargin;
     target.instructions.resumeAfter = lastEventId_;
@@ -372,6 +374,9 @@
                { "status", standby_->call->head().status },
                { "misdirected", response.misdirected },
                { "silent_ms", (monotonicNow() - attempt_->lastProgressAt) / MicrosPerMilli } });
+    if (refused) {
+        noteQuotaNotRun();
+    }
     handover_.onSuccessorEnded(refused ? AttemptEnding::Refused : AttemptEnding::Failed);
     dropStandby(refused ? AttemptResult::Rejected : AttemptResult::Failed);
 }
@@ -452,6 +457,9 @@
     options_.context->metrics->count("carobhall_attempts_failed_total", "reason=\"" + std::string(reason) + "\"");
     verdict_ = combine(verdict_, verdict);
     const AttemptEnding ending = endingOf(verdict, result);
+    if (verdict == Verdict::NotRun && attempt_->isSent) {
+        noteQuotaNotRun();
+    }
     if (forwardsBody_) {
         attempt_->call->cancel();
         endAttempt(*attempt_, result);
@@ -576,6 +584,8 @@
     }
     if (attempt_->call->mayHaveSent()) {
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
+    } else if (attempt_->isSent) {
+        noteQuotaNotRun();
     }
     attempt_->call->cancel();
     // A stream that stalls after its first event is the upstream's failure; before that the request may have been queued.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -43,6 +43,7 @@
                 options.settings.name)
     , pool({ .maySend = [this](const Upstream &upstream) { return upstreams.isUsable(upstream, monotonicNow()); } })
     , retries({ .ratio = options.settings.retryRatio, .allowance = options.settings.retryAllowance, .window = options.settings.retryWindow })
+    , quotas({ .gateway = options.settings.name, .tolerance = options.settings.quotaTolerance })
     , responseBudget({ .memoryLimit = options.settings.memoryLimit })
     , poisonRequests(random())
     , crashProbe([this](const Upstream &upstream) { noteCrashed(upstream.record, "refused", monotonicNow()); })
@@ -50,6 +51,7 @@
     , context({ .upstreams = &upstreams,
                 .pool = &pool,
                 .retries = &retries,
+                .quotas = &quotas,
                 .responseBudget = &responseBudget,
                 .poisonRequests = &poisonRequests,
                 .metrics = &metrics,
@@ -142,11 +144,13 @@
                 retries.setGatewayCount(count);
                 poisonRequests.setGatewayCount(count);
                 upstreams.limits().setGatewayCount(count, monotonicNow());
+                quotas.setGatewayCount(count, monotonicNow());
                 if (options.onFleetSize) {
                     options.onFleetSize(count);
                 }
             },
         .onLimitReports = [this](const LimitReports &reports) { upstreams.limits().merge(reports, monotonicNow()); },
+        .onQuotaSums = [this](std::string_view sidecar, const QuotaSums &sums) { quotas.merge(sidecar, sums, monotonicNow()); },
         .crashEvidence = [this] { return poisonRequests.all(monotonicNow()); },
         .onCrashEvidence =
             [this](const CrashEvidence &evidence) {
@@ -195,6 +199,7 @@
             links->broadcast(report);
         }
     }
+    shareQuotaDemand(now);
     poisonRequests.expire(now);
     crashProbe.expire(now);
     pool.expire(now);
--- a/packages/gateway/src/gateway_impl.h
+++ b/packages/gateway/src/gateway_impl.h
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "sidecar_links.h"
 
+#include <set>
 #include <unordered_set>
 
 namespace Carobhall
@@ -47,6 +48,8 @@
     /// that follows.
     void noteIfCrashed(const std::string &id, std::optional<std::int64_t> startedAtMs, Micros now);
     void noteCrashed(const UpstreamRecord &record, std::string_view evidence, Micros now);
+    /// Sends the demand of the accounts to the other gateways, and reports accounts that begin or cease to be limited by their quotas.
+    void shareQuotaDemand(Micros now);
     /// Sends what this gateway has learned of requests that crash upstreams to the others.
     void shareCrashEvidence(Micros now);
     /// Removes the features that had sound runs from the platform's store.
@@ -61,6 +64,7 @@
     UpstreamTable upstreams;
     UpstreamPool pool;
     RetryBudget retries;
+    AccountQuotas quotas;
     ResponseBudget responseBudget;
     bool wasBudgetTight = false;
     PoisonRequestDetector poisonRequests;
@@ -89,7 +93,9 @@
     std::string cacheStoreAddress;
     Timer ticker;
     Micros nextLimitReportAt = 0;
-    std::uint64_t idleCloses = 0; ///< Since the last line about them.
+    Micros nextQuotaReportAt = 0;
+    std::set<std::string, std::less<>> limitedAccounts; ///< By their quotas, as last logged.
+    std::uint64_t idleCloses = 0;                       ///< Since the last line about them.
     std::uint64_t stopCloses = 0;
     Micros stoppingSince = 0;
     bool listenerStopped = false;
--- a/packages/gateway/src/gateway_intake.cpp
+++ b/packages/gateway/src/gateway_intake.cpp
@@ -59,6 +59,7 @@
                    { "routes", config->routes.size() },
                    { "accounts", config->accounts.size() } });
         callerLimits.adopt(config->limits, monotonicNow());
+        quotas.configure(config->accounts, monotonicNow());
         routes = std::make_shared<RouteTable>(std::move(*config));
         const bool mayBeCopy = before.version == 0 && source == "platform" && stamp.era > FirstEra && !stamp.isEraCertain;
         configUnconfirmedUntil = mayBeCopy ? monotonicNow() + ConfigConfirmLimit : 0;
@@ -136,6 +137,39 @@
     shareCrashEvidence(now);
 }
 
+void Gateway::Impl::shareQuotaDemand(Micros now)
+{
+    if (now < nextQuotaReportAt || !quotas.hasQuotas()) {
+        return;
+    }
+    nextQuotaReportAt = now + QuotaReportInterval;
+    links->broadcast(quotas.report(now));
+    for (const QuotaState &state : quotas.states(now)) {
+        const std::string label = "account=\"" + state.account + "\"";
+        metrics.setGauge("carobhall_quota_per_second", label, state.perSecond);
+        metrics.setGauge("carobhall_quota_share_per_second", label, state.share);
+        metrics.setGauge("carobhall_quota_demand_per_second", label, state.demand);
+        metrics.setGauge("carobhall_quota_used_total", label, state.used);
+        metrics.setGauge("carobhall_quota_refused_total", label, state.refused);
+        const bool wasLimited = limitedAccounts.contains(state.account);
+        if (state.limited == wasLimited) {
+            continue;
+        }
+        if (state.limited) {
+            limitedAccounts.insert(state.account);
+        } else {
+            limitedAccounts.erase(state.account);
+        }
+        logEvent(LogLevel::Info, state.limited ? "account_limited" : "account_unlimited",
+                 { { "account", state.account },
+                   { "per_s", state.perSecond },
+                   { "share_per_s", state.share },
+                   { "demand_per_s", state.demand },
+                   { "used", state.used },
+                   { "refused", state.refused } });
+    }
+}
+
 void Gateway::Impl::shareCrashEvidence(Micros now)
 {
     const CrashEvidence news = poisonRequests.takeNews(now);
--- a/packages/gateway/src/sidecar_links.cpp
+++ b/packages/gateway/src/sidecar_links.cpp
@@ -219,6 +219,8 @@
         endpoint_.send(connection, ConfigData{ .version = held.version, .digest = {}, .text = options_.configurationText(), .origin = originOf(held) });
     } else if (const auto *const reports = std::get_if<LimitReports>(&message)) {
         options_.onLimitReports(*reports);
+    } else if (const auto *const sums = std::get_if<QuotaSums>(&message)) {
+        options_.onQuotaSums(ip, *sums);
     } else if (const auto *const evidence = std::get_if<CrashEvidence>(&message)) {
         options_.onCrashEvidence(*evidence);
     } else if (const auto *const data = std::get_if<ConfigData>(&message)) {
--- a/packages/gateway/src/sidecar_links.h
+++ b/packages/gateway/src/sidecar_links.h
@@ -26,6 +26,8 @@
     std::function<void(const ConfigData &data)> onConfiguration{};        ///< A peer sent a configuration.
     std::function<void(std::uint32_t count)> onGatewayCount{};            ///< A sidecar reported the number of connected gateways.
     std::function<void(const LimitReports &reports)> onLimitReports{};    ///< Other gateways reported limits that upstreams name.
+    /// The sidecar at an address has summed the demand of accounts at the other gateways.
+    std::function<void(std::string_view ip, const QuotaSums &sums)> onQuotaSums{};
     std::function<CrashEvidence()> crashEvidence{};                       ///< All that this gateway knows of requests that crash upstreams.
     std::function<void(const CrashEvidence &evidence)> onCrashEvidence{}; ///< Other gateways reported such requests.
 };
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "carobhall/config_pull_scheduler.h"
 #include "carobhall/crash_evidence.h"
+#include "carobhall/quota_relay.h"
 #include "carobhall/status_pacing.h"
 #include "carobhall/upstream_limits.h"
 
@@ -51,6 +52,8 @@
     void sendSnapshot(ConnectionId connection);
     /// Passes on the reports of the gateways, if there are any, every LimitReportInterval.
     void distributeLimitReports(Micros now);
+    /// Passes on the sums of the demand of accounts, if gateways have reported it, every QuotaReportInterval.
+    void distributeQuotaSums(Micros now);
     [[nodiscard]] LimitReports currentLimitReports(Micros now) const;
     [[nodiscard]] KnownVersions knownVersions() const;
     [[nodiscard]] EngineStatus engineStatus() const;
@@ -60,7 +63,7 @@
     Endpoint endpoint;
     /// Prompt tokens that each connected gateway has sent to the server and not yet seen the first token of.
     std::map<ConnectionId, std::uint64_t> gateways;
-    std::map<ConnectionId, std::string> gatewayZones;
+    std::map<ConnectionId, PeerInfo> gatewayPeers;
     ConfigPullScheduler configPulls;
     std::unique_ptr<ObjectWatcher> weightsWatcher;
     WeightsRollout rollout;
@@ -87,6 +90,8 @@
     /// The reports of the gateways on limits of upstreams, by gateway, and when each was received.
     std::map<std::string, std::pair<LimitReport, Micros>, std::less<>> limitReports;
     Micros nextLimitReportsAt = 0;
+    QuotaRelay quotaRelay;
+    Micros nextQuotaSumsAt = 0;
     CrashEvidenceTable crashEvidence; ///< Of requests that crash upstreams; relayed between the gateways.
     Timer tickTimer;
     Timer stopTimer;
@@ -104,7 +109,7 @@
                  .onOpen =
                      [this](ConnectionId connection, const PeerInfo &peer) {
                          gateways[connection] = 0;
-                         gatewayZones[connection] = peer.zone;
+                         gatewayPeers[connection] = peer;
                          logEvent(LogLevel::Info, "gateway_connected", { { "peer", peer.name }, { "gateways", gateways.size() } });
                          sendSnapshot(connection);
                      },
@@ -112,7 +117,7 @@
                  .onClosed =
                      [this](ConnectionId connection, std::error_code error) {
                          configPulls.removePeer(connection);
-                         gatewayZones.erase(connection);
+                         gatewayPeers.erase(connection);
                          if (gateways.erase(connection) > 0) {
                              logEvent(LogLevel::Info, "gateway_lost", { { "error", error }, { "gateways", gateways.size() } });
                          }
@@ -167,6 +172,7 @@
     }
     feed.tick(now);
     distributeLimitReports(now);
+    distributeQuotaSums(now);
     if (hasReport && !orderInFlight) {
         report.instance = engineInstance;
         const RolloutStep step = rollout.step(report, now);
@@ -383,7 +389,7 @@
         if (compareConfigs(offer, before) == ConfigRelation::Same && heldConfig.offer(offer) == ConfigRelation::Same && heldConfig.stamp() != before) {
             announceVersions();
         }
-        configPulls.addOffer(connection, offer, distanceBetween(here, gatewayZones[connection]));
+        configPulls.addOffer(connection, offer, distanceBetween(here, gatewayPeers[connection].zone));
         if (peer->weights > 0 && !peer->model.empty()) {
             onWeightsAnnounced(peer->model, peer->weights, "peer");
         }
@@ -398,6 +404,8 @@
     } else if (auto *const limits = std::get_if<LimitReport>(&message)) {
         std::string gateway = limits->gateway;
         limitReports.insert_or_assign(std::move(gateway), std::pair(std::move(*limits), monotonicNow()));
+    } else if (auto *const quotas = std::get_if<QuotaReport>(&message)) {
+        quotaRelay.note(std::move(*quotas), monotonicNow());
     } else if (const auto *const evidence = std::get_if<CrashEvidence>(&message)) {
         const Micros now = monotonicNow();
         crashEvidence.merge(*evidence, now);
@@ -430,6 +438,18 @@
     }
 }
 
+void Sidecar::Impl::distributeQuotaSums(Micros now)
+{
+    if (now < nextQuotaSumsAt || quotaRelay.isEmpty()) {
+        return;
+    }
+    nextQuotaSumsAt = now + QuotaReportInterval;
+    quotaRelay.expire(now);
+    for (const auto &[gateway, peer] : gatewayPeers) {
+        endpoint.send(gateway, quotaRelay.sumsFor(peer.name, now));
+    }
+}
+
 LimitReports Sidecar::Impl::currentLimitReports(Micros now) const
 {
     LimitReports reports;
@@ -507,6 +527,9 @@
     if (const LimitReports reports = currentLimitReports(monotonicNow()); !reports.reports.empty()) {
         endpoint.send(connection, reports);
     }
+    if (!quotaRelay.isEmpty()) {
+        endpoint.send(connection, quotaRelay.sumsFor(gatewayPeers[connection].name, monotonicNow()));
+    }
 }
 
 Sidecar::Sidecar(SidecarOptions options)
--- a/packages/wire/include/carobhall/messages.h
+++ b/packages/wire/include/carobhall/messages.h
@@ -15,7 +15,8 @@
 //   6. Engines          EngineStatus, KnownVersions, PendingPrefill
 //   7. Suspects         SuspectFact, CrashRecord, SoundRecord, CrashEvidence
 //   8. Upstream limits  LimitEntry, LimitReport, LimitReports
-//   9. Codec            encode(), decode()
+//   9. Account quotas   QuotaEntry, QuotaReport, QuotaSums
+//   10. Codec            encode(), decode()
 
 #include "carobhall/base.h"
 
@@ -425,11 +426,40 @@
     MSGPACK_DEFINE(reports)
 };
 
-// 9. Codec ----------------------------------------------------------------------------------------
+// 9. Account quotas -------------------------------------------------------------------------------
+
+/// How much an account asks for, in the unit of its quota.
+struct QuotaEntry {
+    std::string account;
+    std::uint8_t unit = 0; ///< QuotaUnit. A gateway with another configuration may count in another unit.
+    double demand = 0.0;   ///< A second; requests that were refused count too.
+    double debt = 0.0;     ///< What the gateway has admitted beyond its share so far; in QuotaSums, what the receiver itself last reported.
+
+    MSGPACK_DEFINE(account, unit, demand, debt)
+};
+
+/// Sent by a gateway to a few sidecars while its configuration has quotas. Lists the accounts that have sent requests lately.
+struct QuotaReport {
+    std::string gateway;
+    std::vector<QuotaEntry> entries;
+
+    MSGPACK_DEFINE(gateway, entries)
+};
+
+/// The reports of all gateways but the receiver, summed by account, so that the size grows with the accounts and not with the gateways.
+struct QuotaSums {
+    std::uint32_t gateways = 0; ///< Number of gateways whose reports are summed.
+    std::vector<QuotaEntry> entries;
+
+    MSGPACK_DEFINE(gateways, entries)
+};
+
+// 10. Codec ---------------------------------------------------------------------------------------
 
 /// All messages. The index of an alternative is its type number on the wire, so new messages must be appended to the end.
-using Message = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantRequest, Grant,
-                             DumpRequest, DumpReply, EngineStatus, KnownVersions, PendingPrefill, SuspectUpdate, CrashEvidence, LimitReport, LimitReports>;
+using Message
+    = std::variant<Probe, ProbeReply, Submit, Refused, Head, Chunk, End, Credit, Cancel, ConfigOffer, ConfigPull, ConfigData, GrantRequest, Grant, DumpRequest,
+                   DumpReply, EngineStatus, KnownVersions, PendingPrefill, SuspectUpdate, CrashEvidence, LimitReport, LimitReports, QuotaReport, QuotaSums>;
 
 /// Encodes \p message. Thread-safe.
 [[nodiscard]] std::string encode(const Message &message);
