Bound the bytes of requests and the connections of callers

Cause: a gateway reads every body that its clients send, whatever it holds already, and accepts connections until it has no descriptors; libsoup's listeners keep bodies that nobody reads; a sidecar takes frames of 4 MiB from connections that have not shown a key. Change: ReceiveBudget grants room for a body before it is read; without room the input is held, and after 2 s refused with 503. Bodies that have stopped, or are slow, give way to those that wait (receive_pressure.h). Callers have at most half of the descriptors; beyond that the connection that has been silent for longest is closed. The listeners for readiness and metrics drop bodies. Frames before the handshake are limited to 16 KiB. Ruled out: refusing at once without holding the input (a single large request beside others would be refused in calm).

--- a/packages/gateway/include/carobhall/gateway.h
+++ b/packages/gateway/include/carobhall/gateway.h
@@ -44,6 +44,7 @@
     double retryRatio = 0.1;                ///< Fleet-wide limit of retries, see RetryBudgetOptions.
     double retryAllowance = 0.0;
     std::size_t memoryLimit = std::size_t{ 88 } << 20U; ///< Bytes that the process may use; a gateway bounds what it holds of responses by it.
+    std::size_t maxDescriptors = 4'096;                 ///< Files and connections that the process may have open.
     Micros retryWindow = 10 * MicrosPerSecond;
     Micros drainTime = 4 * MicrosPerSecond;                         ///< An upstream gets no request this long after its entry says that it is draining.
     Micros weightsDeadline = UpstreamTable::DefaultWeightsDeadline; ///< No request starts on weights that were replaced this long ago.
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -13,6 +13,10 @@
 /// A caller that takes no bytes of its response for this long has stopped reading. The system of one that reads slowly through a large window
 /// acknowledges bytes in steps, some tens of seconds apart at a few kilobytes a second.
 constexpr Micros StallLimit = 60 * MicrosPerSecond;
+/// Retry-After, in seconds, of a request for which there is no room: other clients take it for about so long.
+constexpr std::string_view RetryAfterNoRoom = "1.000";
+/// A body that arrives more slowly on average is refused once the idle limit has passed. Slow links carry ten times as much.
+constexpr double MinBodyBytesPerSecond = 512.0;
 /// The next request of a connection waits while more bytes of the responses before it are unsent, so that a caller that sends many requests ahead
 /// does not collect their responses here.
 constexpr std::size_t MaxUnsentBeforeNextRequest = std::size_t{ 1 } << 20U;
@@ -70,6 +74,9 @@
         }
         const ReadProgress progress = reader_.read(channel_->input());
         if (progress == ReadProgress::NeedsMore) {
+            if (reader_.hasHead() && !reserveBody()) {
+                break;
+            }
             if (reader_.hasHead() && !continueChecked_) {
                 continueChecked_ = true;
                 if (const auto expect = findField(reader_.head().fields, "Expect"); expect && equalsIgnoringCase(*expect, "100-continue")) {
@@ -94,6 +101,13 @@
         if (progress != ReadProgress::Complete) {
             break;
         }
+        if (!grant_) {
+            grant_ = options_.budget->take(reader_.bodyBytes());
+        }
+        if (!grant_ || !grant_.resize(reader_.bodyBytes())) {
+            refuse("no_room");
+            break;
+        }
         RequestHead head = reader_.head();
         writer_.beginRequest(head.persistent);
         // Whatever ends the connection from here on, a further request is still unread then and the caller may send it again.
@@ -101,11 +115,85 @@
         std::string body = reader_.takeBody();
         reader_ = RequestReader(ReaderLimits{});
         continueChecked_ = false;
-        options_.onRequest(self, std::move(head), std::move(body));
+        options_.onRequest(self, { .head = std::move(head), .body = std::move(body), .grant = std::exchange(grant_, {}) });
     }
     reading_ = false;
 }
 
+bool CallerConnection::reserveBody()
+{
+    const auto announced = reader_.announcedBytes();
+    const std::size_t received = reader_.bodyBytes();
+    // The length of a body in chunks is not known: it counts as a small one until it is none.
+    const std::size_t small = options_.budget->smallBytes();
+    const std::size_t largest = static_cast<std::size_t>(requestLimits_.maxBodyBytes);
+    const std::size_t needed = announced ? static_cast<std::size_t>(*announced) : std::min(largest, received < small ? small : largest);
+    if (grant_ && needed <= grant_.bodyBytes()) {
+        return true;
+    }
+    if (grant_ ? grant_.resize(needed) : static_cast<bool>(grant_ = options_.budget->take(needed))) {
+        return true;
+    }
+    heldSince_ = monotonicNow();
+    channel_->setInputHeld(true);
+    return false;
+}
+
+void CallerConnection::continueHeld()
+{
+    if (closed_ || heldSince_ == 0) {
+        return;
+    }
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    const Micros since = std::exchange(heldSince_, 0);
+    if (!reserveBody()) {
+        heldSince_ = since;
+        return;
+    }
+    // The caller could not send meanwhile.
+    lastBytesAt_ = monotonicNow();
+    channel_->setInputHeld(false);
+    readRequests();
+}
+
+ReceiveState CallerConnection::receiveState() const
+{
+    const bool isBusy = writer_.isBusy() || channel_->undelivered() > 0;
+    const ReceivePhase phase = isBusy ? ReceivePhase::Busy
+        : heldSince_ > 0              ? ReceivePhase::Held
+        : reader_.hasStarted()        ? ReceivePhase::Receiving
+                                      : ReceivePhase::Idle;
+    return { .phase = phase,
+             .lastBytesAt = lastBytesAt_,
+             .since = heldSince_ > 0 ? heldSince_ : waitingSince_,
+             .bytes = reader_.bodyBytes(),
+             .grantedBytes = grant_.bodyBytes() };
+}
+
+void CallerConnection::refuseIncomplete()
+{
+    if (!closed_ && !writer_.isBusy() && reader_.hasStarted()) {
+        const std::shared_ptr<CallerConnection> self = shared_from_this();
+        refuse("no_room");
+    }
+}
+
+void CallerConnection::refuse(std::string_view reason)
+{
+    writer_.beginRequest(false);
+    options_.onRejected(*this, reason);
+    grant_ = {};
+    reader_ = RequestReader(ReaderLimits{});
+    respond(503, { { "Retry-After", std::string(RetryAfterNoRoom) } }, {});
+}
+
+void CallerConnection::closeForRoom()
+{
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    channel_->abort();
+    close(ConnectionEnd::NoRoom);
+}
+
 void CallerConnection::beginNextRequest()
 {
     nextIsHeld_ = channel_->unsent() > MaxUnsentBeforeNextRequest;
@@ -121,6 +209,8 @@
 {
     writer_.beginRequest(false);
     options_.onRejected(*this, reason);
+    grant_ = {};
+    reader_ = RequestReader(ReaderLimits{});
     respond(status, {}, {});
 }
 
@@ -249,8 +339,13 @@
         }
         return;
     }
+    if (heldSince_ > 0) {
+        return;
+    }
+    const double bodyTime = static_cast<double>(now - waitingSince_) / MicrosPerSecond;
+    const bool bodySlow = now - waitingSince_ > requestLimits_.idleTimeout && static_cast<double>(reader_.bodyBytes()) < MinBodyBytesPerSecond * bodyTime;
     const bool headLate = !reader_.hasHead() && now - waitingSince_ > requestLimits_.headerTimeout;
-    if (headLate || now - lastBytesAt_ > requestLimits_.idleTimeout) {
+    if (headLate || bodySlow || now - lastBytesAt_ > requestLimits_.idleTimeout) {
         reject(408, headLate ? "header_timeout" : "body_timeout");
     }
 }
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -4,6 +4,8 @@
 
 #include "carobhall/caller_limits.h"
 #include "carobhall/channel.h"
+#include "carobhall/receive_budget.h"
+#include "carobhall/receive_pressure.h"
 #include "carobhall/response_writer.h"
 
 #include <functional>
@@ -21,6 +23,7 @@
     Complete,   ///< The response was announced as the last one.
     Truncated,  ///< A started response could not be completed.
     Stalled,    ///< The caller took no bytes of its response for the stall limit.
+    NoRoom,     ///< Another connection needed the descriptor.
 };
 
 template<>
@@ -28,13 +31,22 @@
     static constexpr std::array rows{
         EnumName{ ConnectionEnd::CallerLeft, "caller-left" }, EnumName{ ConnectionEnd::Idle, "idle" },           EnumName{ ConnectionEnd::Stop, "stop" },
         EnumName{ ConnectionEnd::Complete, "complete" },      EnumName{ ConnectionEnd::Truncated, "truncated" }, EnumName{ ConnectionEnd::Stalled, "stalled" },
+        EnumName{ ConnectionEnd::NoRoom, "no-room" },
     };
 };
 
+/// A complete request.
+struct ReceivedRequest {
+    RequestHead head{};
+    std::string body{};
+    ReceiveGrant grant{}; ///< For the body; returned when the request has ended.
+};
+
 struct CallerConnectionOptions {
     int descriptor = -1;
     const CallerLimitHistory *limits = nullptr; ///< Outlives the connection.
-    std::function<void(const std::shared_ptr<CallerConnection> &, RequestHead, std::string body)> onRequest{};
+    ReceiveBudget *budget = nullptr;            ///< Outlives the connection.
+    std::function<void(const std::shared_ptr<CallerConnection> &, ReceivedRequest)> onRequest{};
     std::function<void(CallerConnection &, std::string_view reason)> onRejected{}; ///< A malformed or oversized request was answered with an error.
     std::function<void(CallerConnection &, ConnectionEnd)> onClosed{};             ///< Called once.
 };
@@ -71,6 +83,14 @@
     /// Enforces the idle and read timeouts of CallerLimits, and the stall limit. A connection is not idle before its caller has taken the
     /// last response.
     void checkTimeouts(Micros now);
+    /// What decides whether the connection gives way when memory or descriptors are short.
+    [[nodiscard]] ReceiveState receiveState() const;
+    /// Tries again to read a body that waits for room in the budget.
+    void continueHeld();
+    /// Refuses a request that has been read in part, because others need the room.
+    void refuseIncomplete();
+    /// Ends the connection at once, because another one needs its descriptor. Precondition: no request is being handled.
+    void closeForRoom();
     /// A request is being handled or read, or waits in the socket, or the caller has not taken all bytes of its response.
     [[nodiscard]] bool isBusy() const;
     /// Why the connection was closed. Precondition: isClosed().
@@ -93,6 +113,10 @@
     /// Call before the head of a response is written.
     void prepareHead();
     void reject(unsigned status, std::string_view reason);
+    /// Takes room in the budget for the body whose head was read, or for more of it. Holds the input, and returns false, if there is none.
+    [[nodiscard]] bool reserveBody();
+    /// Responds that the request has not run and may be sent again.
+    void refuse(std::string_view reason);
     void close(ConnectionEnd end);
 
     CallerConnectionOptions options_;
@@ -106,6 +130,8 @@
     ConnectionEnd end_ = ConnectionEnd::CallerLeft;
     Micros lastBytesAt_ = 0;
     ResponseWriter writer_;
+    ReceiveGrant grant_;           ///< For the body that is being read.
+    Micros heldSince_ = 0;         ///< When the input was held for want of room; 0: it is not held.
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
     bool closed_ = false;
     bool shuttingDown_ = false; ///< beginShutdown() was called.
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -41,6 +41,7 @@
     std::shared_ptr<CallerConnection> caller{};
     RequestHead head{};
     std::string body{};
+    ReceiveGrant grant{};                         ///< For the body.
     std::function<void(Exchange &)> onFinished{}; ///< Called once.
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <unistd.h>
 
 namespace Carobhall
 {
@@ -10,6 +11,9 @@
 namespace
 {
 
+/// Descriptors that the platform keeps for files. Of the others, callers get half; the rest is for upstreams, sidecars and the platform.
+constexpr std::size_t FileDescriptors = 200;
+constexpr std::size_t MinCallers = 32;
 constexpr Micros TickInterval = 50 * MicrosPerMilli; ///< Interval of Impl::tick().
 /// After a restore of the platform, the operator has this long to write again what was acknowledged. Then the platform's
 /// configuration is authoritative, whatever was held before.
@@ -45,6 +49,7 @@
     , retries({ .ratio = options.settings.retryRatio, .allowance = options.settings.retryAllowance, .window = options.settings.retryWindow })
     , quotas({ .gateway = options.settings.name, .tolerance = options.settings.quotaTolerance })
     , responseBudget({ .memoryLimit = options.settings.memoryLimit })
+    , receiveBudget({ .memoryLimit = options.settings.memoryLimit })
     , poisonRequests(random())
     , crashProbe([this](const Upstream &upstream) { noteCrashed(upstream.record, "refused", monotonicNow()); })
     , admission({ .grace = options.settings.stopGrace })
@@ -69,6 +74,7 @@
 
 std::error_code Gateway::Impl::start()
 {
+    dropRequestBodies(readiness.get());
     soup_server_add_handler(readiness.get(), nullptr, &Impl::onReadiness, this, nullptr);
     std::uint16_t port = 0;
     if (const std::error_code error = listenHttp(readiness.get(), options.settings.readinessAddress, port)) {
@@ -208,6 +214,7 @@
     for (const std::shared_ptr<CallerConnection> &caller : all) {
         caller->checkTimeouts(now);
     }
+    checkReceiveBudget(now);
     removeEnded();
     checkResponseBudget();
     reportIdleCloses(now);
@@ -333,13 +340,66 @@
     options.onStopped();
 }
 
+bool Gateway::Impl::makeRoomForCaller()
+{
+    const std::size_t most = (options.settings.maxDescriptors - std::min(options.settings.maxDescriptors, FileDescriptors)) / 2;
+    if (callers.size() + closing.size() < std::max(MinCallers, most)) {
+        wasFull = false;
+        return true;
+    }
+    const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+    std::vector<ReceiveState> states;
+    states.reserve(all.size());
+    for (const std::shared_ptr<CallerConnection> &caller : all) {
+        states.push_back(caller->receiveState());
+    }
+    if (!std::exchange(wasFull, true)) {
+        logEvent(LogLevel::Warning, "connections_full", { { "connections", callers.size() }, { "closing", closing.size() }, { "limit", most } });
+    }
+    const auto spared = connectionToClose(states);
+    if (spared) {
+        all[*spared]->closeForRoom();
+        removeEnded();
+    }
+    return spared.has_value();
+}
+
+void Gateway::Impl::checkReceiveBudget(Micros now)
+{
+    std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+    // Those that have waited for longest come first.
+    std::ranges::sort(all, {}, [](const std::shared_ptr<CallerConnection> &caller) { return caller->receiveState().since; });
+    for (const std::shared_ptr<CallerConnection> &caller : all) {
+        caller->continueHeld();
+    }
+    std::vector<ReceiveState> states;
+    states.reserve(all.size());
+    for (const std::shared_ptr<CallerConnection> &caller : all) {
+        states.push_back(caller->isClosed() ? ReceiveState{} : caller->receiveState());
+    }
+    const bool isTight = std::ranges::any_of(states, [](const ReceiveState &state) { return state.phase == ReceivePhase::Held; });
+    for (const std::size_t index : bodiesToRefuse(states, now)) {
+        all[index]->refuseIncomplete();
+    }
+    metrics.setGauge("carobhall_request_bytes_held", {}, static_cast<double>(receiveBudget.held()));
+    if (isTight != std::exchange(wasReceiveTight, isTight)) {
+        logEvent(LogLevel::Warning, isTight ? "receive_budget_tight" : "receive_budget_relieved",
+                 { { "held_bytes", receiveBudget.held() }, { "limit_bytes", receiveBudget.limit() }, { "connections", callers.size() } });
+    }
+}
+
 void Gateway::Impl::onAccept(int descriptor)
 {
+    if (!makeRoomForCaller()) {
+        metrics.count("carobhall_connections_refused_total");
+        close(descriptor);
+        return;
+    }
     const auto caller = std::make_shared<CallerConnection>(CallerConnectionOptions{
         .descriptor = descriptor,
         .limits = &callerLimits,
-        .onRequest = [this](const std::shared_ptr<CallerConnection> &from, RequestHead head,
-                            std::string body) { onRequest(from, std::move(head), std::move(body)); },
+        .budget = &receiveBudget,
+        .onRequest = [this](const std::shared_ptr<CallerConnection> &from, ReceivedRequest request) { onRequest(from, std::move(request)); },
         .onRejected =
             [this](CallerConnection &, std::string_view reason) {
                 metrics.count("carobhall_rejected_messages_total", "reason=\"" + std::string(reason) + "\"");
@@ -354,14 +414,15 @@
     caller->open(monotonicNow());
 }
 
-void Gateway::Impl::onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body)
+void Gateway::Impl::onRequest(const std::shared_ptr<CallerConnection> &caller, ReceivedRequest request)
 {
     const Micros now = monotonicNow();
     const auto exchange = std::make_shared<Exchange>(ExchangeOptions{ .context = &context,
                                                                       .routes = configUnconfirmedUntil == 0 ? routes : nullptr,
                                                                       .caller = caller,
-                                                                      .head = std::move(head),
-                                                                      .body = std::move(body),
+                                                                      .head = std::move(request.head),
+                                                                      .body = std::move(request.body),
+                                                                      .grant = std::move(request.grant),
                                                                       .onFinished = [this](Exchange &done) { exchanges.erase(done.shared_from_this()); } });
     exchanges.insert(exchange);
     exchange->begin(now);
--- a/packages/gateway/src/gateway_impl.h
+++ b/packages/gateway/src/gateway_impl.h
@@ -28,7 +28,11 @@
     /// \p elapsed: time since the beginning of the shutdown.
     void endProcess(Micros elapsed);
     void onAccept(int descriptor);
-    void onRequest(const std::shared_ptr<CallerConnection> &caller, RequestHead head, std::string body);
+    /// Closes the connection that can best be spared if there are as many as there may be. Returns false if none can.
+    bool makeRoomForCaller();
+    /// Refuses requests that wait for room in the receive budget for too long, and those that hold it without need.
+    void checkReceiveBudget(Micros now);
+    void onRequest(const std::shared_ptr<CallerConnection> &caller, ReceivedRequest request);
     void onCallerClosed(CallerConnection &caller, ConnectionEnd end);
     /// Logs and counts a response that the caller has not taken whole, if there is one.
     void reportCut(const CallerConnection &caller);
@@ -66,6 +70,9 @@
     RetryBudget retries;
     AccountQuotas quotas;
     ResponseBudget responseBudget;
+    ReceiveBudget receiveBudget;
+    bool wasReceiveTight = false;
+    bool wasFull = false; ///< As many connections as there may be.
     bool wasBudgetTight = false;
     PoisonRequestDetector poisonRequests;
     CrashProbe crashProbe;
--- a/packages/http/include/carobhall/http_message.h
+++ b/packages/http/include/carobhall/http_message.h
@@ -91,6 +91,10 @@
     [[nodiscard]] const RequestHead &head() const;
     /// Returns and removes the body bytes that were parsed since the last call.
     [[nodiscard]] std::string takeBody();
+    /// Number of body bytes that were parsed and not taken.
+    [[nodiscard]] std::size_t bodyBytes() const;
+    /// The length that the head announces; empty: the body is sent in chunks. Precondition: hasHead().
+    [[nodiscard]] std::optional<std::uint64_t> announcedBytes() const;
     /// Whether any byte of the message has been received.
     [[nodiscard]] bool hasStarted() const;
 
--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -258,6 +258,20 @@
     return std::exchange(impl_->parser.body, {});
 }
 
+std::size_t RequestReader::bodyBytes() const
+{
+    return impl_->parser.body.size();
+}
+
+std::optional<std::uint64_t> RequestReader::announcedBytes() const
+{
+    if (impl_->parser.chunked()) {
+        return std::nullopt;
+    }
+    const auto length = impl_->parser.content_length();
+    return length ? *length : 0;
+}
+
 bool RequestReader::hasStarted() const
 {
     return impl_->started;
--- a/packages/runtime/include/carobhall/runtime.h
+++ b/packages/runtime/include/carobhall/runtime.h
@@ -112,6 +112,8 @@
 
 /// Makes \p server listen at \p address, "ip:port"; port 0 selects a free port. Stores the actual port in \p port.
 std::error_code listenHttp(SoupServer *server, const std::string &address, std::uint16_t &port);
+/// Makes \p server drop the bodies of requests as they arrive. For listeners whose requests have none, but to which anybody may send one.
+void dropRequestBodies(SoupServer *server);
 
 /// HTTP listener for operators and monitoring: /metrics, /dump, /healthz, /readyz.
 class AdminListener
--- a/packages/runtime/src/http.cpp
+++ b/packages/runtime/src/http.cpp
@@ -51,10 +51,19 @@
     return {};
 }
 
+void dropRequestBodies(SoupServer *server)
+{
+    const auto onStarted = +[](SoupServer * /*self*/, SoupServerMessage *message, gpointer /*data*/) {
+        soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    };
+    g_signal_connect(server, "request-started", G_CALLBACK(onStarted), nullptr);
+}
+
 AdminListener::AdminListener(Options options)
     : options_(std::move(options))
     , server_(soup_server_new("server-header", "carobhall", nullptr))
 {
+    dropRequestBodies(server_.get());
     soup_server_add_handler(server_.get(), nullptr, &AdminListener::onRequest, this, nullptr);
 }
 
--- a/packages/wire/src/stream.cpp
+++ b/packages/wire/src/stream.cpp
@@ -13,6 +13,12 @@
     nng_aio_alloc(&sendAio_, &Stream::onSent, this);
 }
 
+void Stream::setMaxInboundBytes(std::size_t maxInboundBytes)
+{
+    const std::lock_guard lock(mutex_);
+    maxInboundBytes_ = maxInboundBytes;
+}
+
 Stream::~Stream()
 {
     {
--- a/packages/wire/src/stream.h
+++ b/packages/wire/src/stream.h
@@ -25,6 +25,9 @@
     Stream(const Stream &) = delete;
     Stream &operator=(const Stream &) = delete;
 
+    /// Changes the limit that the constructor was given; takes effect when data is taken.
+    void setMaxInboundBytes(std::size_t maxInboundBytes);
+
     /// Starts connecting to "ip:port". Precondition: neither dial() nor adopt() has been called.
     void dial(const std::string &address);
     /// Takes ownership of an accepted stream. Precondition: as for dial().
@@ -53,13 +56,13 @@
     static constexpr std::size_t ReadBytes = std::size_t{ 64 } << 10U;
 
     std::function<void()> wake_;
-    std::size_t maxInboundBytes_;
     nng_stream_dialer *dialer_ = nullptr;
     nng_aio *dialAio_ = nullptr;
     nng_aio *receiveAio_ = nullptr;
     nng_aio *sendAio_ = nullptr;
 
     mutable std::mutex mutex_; ///< Guards the members below.
+    std::size_t maxInboundBytes_;
     nng_stream *stream_ = nullptr;
     bool closed_ = false;
     bool stopping_ = false; ///< The destructor is running.
--- a/packages/wire/src/wire.cpp
+++ b/packages/wire/src/wire.cpp
@@ -22,6 +22,8 @@
 constexpr Micros SweepInterval = 250 * MicrosPerMilli;
 /// Reading from a connection pauses while this much received data waits for the main loop. Larger than the
 /// largest frame.
+/// A peer that has not shown that it belongs to the installation sends only the frames of the handshake.
+constexpr std::size_t MaxFrameBytesBeforeOpen = std::size_t{ 16 } << 10U;
 constexpr std::size_t MaxInboundBytes = std::size_t{ 8 } << 20U;
 
 std::string makeFrame(std::string_view payload)
@@ -155,7 +157,7 @@
 {
     const ConnectionId id = nextId++;
     auto connection = std::make_unique<Connection>(Connection{
-        .stream = std::make_unique<Stream>([this] { wake(); }, MaxInboundBytes),
+        .stream = std::make_unique<Stream>([this] { wake(); }, isDialler ? MaxInboundBytes : MaxFrameBytesBeforeOpen),
         .handshake = Handshake(options.keys, isDialler),
         .inbound = {},
         .handshakeQueue = {},
@@ -204,7 +206,8 @@
     entry->second->inbound.clear();
     while (inbound.size() - consumed >= LengthPrefixSize) {
         const std::size_t length = readLengthPrefix(std::string_view(inbound).substr(consumed));
-        if (length > options.maxFrameBytes) {
+        entry = connections.find(id);
+        if (length > (entry->second->open ? options.maxFrameBytes : MaxFrameBytesBeforeOpen)) {
             endConnection(id, Errc::MalformedMessage);
             return;
         }
@@ -256,6 +259,7 @@
             return false;
         }
         connection.open = true;
+        connection.stream->setMaxInboundBytes(MaxInboundBytes);
         options.onOpen(id, *peer);
         return connections.contains(id);
     }
