--- a/packages/gateway/tests/receive_budget_test.cpp
+++ b/packages/gateway/tests/receive_budget_test.cpp
@@ -88,13 +88,13 @@
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         std::mt19937_64 random(seed);
         const ReceivePressureOptions options{ .maxHeld = 4 };
-        std::vector<ReceiveState> states;
-        for (int i = 0; i < 40; ++i) {
-            states.push_back({ .phase = static_cast<ReceivePhase>(random() % 4),
-                               .lastBytesAt = Now - static_cast<Micros>(random() % (3 * MicrosPerSecond)),
-                               .since = Now - static_cast<Micros>(random() % (6 * MicrosPerSecond)),
-                               .bytes = random() % (std::size_t{ 1 } << 20U),
-                               .grantedBytes = Large });
+        std::vector<ReceiveState> states(40);
+        for (ReceiveState &state : states) {
+            state = { .phase = static_cast<ReceivePhase>(random() % 4),
+                      .lastBytesAt = Now - static_cast<Micros>(random() % (3 * MicrosPerSecond)),
+                      .since = Now - static_cast<Micros>(random() % (6 * MicrosPerSecond)),
+                      .bytes = random() % (std::size_t{ 1 } << 20U),
+                      .grantedBytes = Large };
         }
         const std::vector<std::size_t> refused = bodiesToRefuse(states, Now, options);
         const auto isRefused = [&](std::size_t i) { return std::ranges::find(refused, i) != refused.end(); };
