Mend what the review of quotas and the receive budget found

A request that names absurdly many tokens was admitted and blocked its account; the debt of the process before was never restored, because the first report comes before the first sidecar; a body that had just received its room was refused as slow; 100 Continue was not sent after a hold; a caller who does not read kept its room; a closing connection kept its grant; header fields and pipelined bytes were not counted; the sidecar iterated over a map from which a failed send erases.

--- a/packages/gateway/src/account_quotas.cpp
+++ b/packages/gateway/src/account_quotas.cpp
@@ -101,7 +101,9 @@
 double AccountQuotas::toleranceOf(const AccountQuota &quota) const
 {
     const QuotaTolerance &tolerance = options_.tolerance;
-    return tolerance.overshoot * (quota.perSecond * toSeconds(tolerance.window) + quota.burst) + tolerance.slack;
+    // The slack of an installation whose quotas count tokens is far more than a quota of requests allows.
+    const double slack = quota.unit == QuotaUnit::Tokens ? tolerance.slack : std::min(tolerance.slack, quota.perSecond);
+    return tolerance.overshoot * (quota.perSecond * toSeconds(tolerance.window) + quota.burst) + slack;
 }
 
 double AccountQuotas::depthOf(const AccountQuota &quota) const
@@ -116,8 +118,11 @@
 
 double AccountQuotas::creditOf(const Metered &metered, const Fleet &fleet, Micros now) const
 {
+    if (isStarting(now)) {
+        return 0.0;
+    }
     const double tolerance = toleranceOf(metered.quota);
-    if (!fleet.isHeard || isStarting(now) || metered.fleetLevel <= CalmLevel * depthOf(metered.quota)) {
+    if (!fleet.isHeard || metered.fleetLevel <= CalmLevel * depthOf(metered.quota)) {
         return ContendedTolerance * tolerance * fleet.share / metered.quota.perSecond;
     }
     const double saved = depthOf(metered.quota) * fleet.share / metered.quota.perSecond;
@@ -159,6 +164,13 @@
         return {};
     }
     Metered &metered = found->second;
+    const double most = metered.quota.perSecond * toSeconds(options_.tolerance.window) + metered.quota.burst + toleranceOf(metered.quota);
+    if (cost > most) {
+        // No window ever has room for it, and as a debt it would block the account.
+        metered.refused += most;
+        metered.refusedAt = now;
+        return { .admitted = false, .retryAfter = options_.tolerance.window };
+    }
     CostAverage &average = costs_[static_cast<std::size_t>(metered.quota.unit)];
     average.mean += CostSampleWeight * (cost - average.mean);
     average.square += CostSampleWeight * (cost * cost - average.square);
@@ -211,8 +223,10 @@
     const double elapsed = std::max(MinInterval, toSeconds(now - std::exchange(reportedAt_, now)));
     for (auto &[account, metered] : accounts_) {
         advance(account, metered, now);
-        // The first intervals have equal weights, so that a gateway that has just started does not report too little.
-        const double weight = std::max(DemandSampleWeight, 1.0 / ++metered.samples);
+        // The first intervals have equal weights, so that a gateway that has just started does not report too little. They are counted from when
+        // a sidecar is heard, which may tell what the process before this one was in debt.
+        metered.samples += isStarting(now) && relays_.empty() ? 0 : 1;
+        const double weight = std::max(DemandSampleWeight, 1.0 / std::max(1U, metered.samples));
         metered.demand += weight * (std::exchange(metered.asked, 0.0) / elapsed - metered.demand);
         std::rotate(metered.reported.begin(), metered.reported.end() - 1, metered.reported.end());
         metered.reported.front() = metered.demand;
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -21,6 +21,16 @@
 /// does not collect their responses here.
 constexpr std::size_t MaxUnsentBeforeNextRequest = std::size_t{ 1 } << 20U;
 
+/// What is held of a request besides its body: the fields of its head, and \p input that arrived behind it.
+std::size_t heldBesidesBody(const RequestHead &head, std::string_view input)
+{
+    std::size_t bytes = input.size();
+    for (const HeaderField &field : head.fields) {
+        bytes += sizeof(HeaderField) + field.name.size() + field.value.size();
+    }
+    return bytes;
+}
+
 ReaderLimits readerLimits(const CallerLimits &limits)
 {
     return { .maxHeaderBytes = limits.maxHeaderBytes, .maxBodyBytes = limits.maxBodyBytes };
@@ -74,15 +84,7 @@
         }
         const ReadProgress progress = reader_.read(channel_->input());
         if (progress == ReadProgress::NeedsMore) {
-            if (reader_.hasHead() && !reserveBody()) {
-                break;
-            }
-            if (reader_.hasHead() && !continueChecked_) {
-                continueChecked_ = true;
-                if (const auto expect = findField(reader_.head().fields, "Expect"); expect && equalsIgnoringCase(*expect, "100-continue")) {
-                    channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
-                }
-            }
+            (void)(reader_.hasHead() && reserveBody());
             break;
         }
         switch (progress) {
@@ -101,10 +103,14 @@
         if (progress != ReadProgress::Complete) {
             break;
         }
+        if (std::exchange(heldSince_, 0) > 0) {
+            channel_->setInputHeld(false);
+        }
+        const std::size_t bytes = reader_.bodyBytes() + heldBesidesBody(reader_.head(), channel_->input());
         if (!grant_) {
-            grant_ = options_.budget->take(reader_.bodyBytes());
+            grant_ = options_.budget->take(bytes);
         }
-        if (!grant_ || !grant_.resize(reader_.bodyBytes())) {
+        if (!grant_ || !grant_.resize(bytes)) {
             refuse("no_room");
             break;
         }
@@ -115,6 +121,10 @@
         std::string body = reader_.takeBody();
         reader_ = RequestReader(ReaderLimits{});
         continueChecked_ = false;
+        if (channel_->input().empty()) {
+            // The buffer of a connection that rests is not kept.
+            std::string().swap(channel_->input());
+        }
         options_.onRequest(self, { .head = std::move(head), .body = std::move(body), .grant = std::exchange(grant_, {}) });
     }
     reading_ = false;
@@ -127,16 +137,20 @@
     // The length of a body in chunks is not known: it counts as a small one until it is none.
     const std::size_t small = options_.budget->smallBytes();
     const std::size_t largest = static_cast<std::size_t>(requestLimits_.maxBodyBytes);
-    const std::size_t needed = announced ? static_cast<std::size_t>(*announced) : std::min(largest, received < small ? small : largest);
-    if (grant_ && needed <= grant_.bodyBytes()) {
-        return true;
+    const std::size_t body = announced ? static_cast<std::size_t>(*announced) : std::min(largest, received < small ? small : largest);
+    const std::size_t needed = body + heldBesidesBody(reader_.head(), {});
+    const bool hasRoom = grant_ ? needed <= grant_.bodyBytes() || grant_.resize(needed) : static_cast<bool>(grant_ = options_.budget->take(needed));
+    if (!hasRoom) {
+        heldSince_ = heldSince_ > 0 ? heldSince_ : monotonicNow();
+        channel_->setInputHeld(true);
+        return false;
     }
-    if (grant_ ? grant_.resize(needed) : static_cast<bool>(grant_ = options_.budget->take(needed))) {
-        return true;
+    if (!std::exchange(continueChecked_, true)) {
+        if (const auto expect = findField(reader_.head().fields, "Expect"); expect && equalsIgnoringCase(*expect, "100-continue")) {
+            channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
     }
-    heldSince_ = monotonicNow();
-    channel_->setInputHeld(true);
-    return false;
+    return true;
 }
 
 void CallerConnection::continueHeld()
@@ -145,24 +159,24 @@
         return;
     }
     const std::shared_ptr<CallerConnection> self = shared_from_this();
-    const Micros since = std::exchange(heldSince_, 0);
     if (!reserveBody()) {
-        heldSince_ = since;
         return;
     }
-    // The caller could not send meanwhile.
+    // The caller could not send meanwhile, so that the time does not count against its rate.
     lastBytesAt_ = monotonicNow();
+    waitingSince_ += lastBytesAt_ - std::exchange(heldSince_, 0);
     channel_->setInputHeld(false);
     readRequests();
 }
 
 ReceiveState CallerConnection::receiveState() const
 {
-    const bool isBusy = writer_.isBusy() || channel_->undelivered() > 0;
-    const ReceivePhase phase = isBusy ? ReceivePhase::Busy
-        : heldSince_ > 0              ? ReceivePhase::Held
-        : reader_.hasStarted()        ? ReceivePhase::Receiving
-                                      : ReceivePhase::Idle;
+    // A caller that does not read its last response may still hold room for its next request.
+    const ReceivePhase phase = writer_.isBusy() ? ReceivePhase::Busy
+        : heldSince_ > 0                        ? ReceivePhase::Held
+        : reader_.hasStarted()                  ? ReceivePhase::Receiving
+        : channel_->undelivered() > 0           ? ReceivePhase::Busy
+                                                : ReceivePhase::Idle;
     return { .phase = phase,
              .lastBytesAt = lastBytesAt_,
              .since = heldSince_ > 0 ? heldSince_ : waitingSince_,
@@ -394,6 +408,8 @@
         return;
     }
     end_ = end;
+    grant_ = {};
+    reader_ = RequestReader(ReaderLimits{});
     const std::shared_ptr<CallerConnection> self = shared_from_this();
     options_.onClosed(*this, end);
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -366,20 +366,28 @@
 
 void Gateway::Impl::checkReceiveBudget(Micros now)
 {
-    std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+    std::vector<std::pair<Micros, std::shared_ptr<CallerConnection>>> held;
+    for (const std::shared_ptr<CallerConnection> &caller : callers) {
+        if (const ReceiveState state = caller->receiveState(); state.phase == ReceivePhase::Held) {
+            held.emplace_back(state.since, caller);
+        }
+    }
+    const bool isTight = !held.empty();
     // Those that have waited for longest come first.
-    std::ranges::sort(all, {}, [](const std::shared_ptr<CallerConnection> &caller) { return caller->receiveState().since; });
-    for (const std::shared_ptr<CallerConnection> &caller : all) {
+    std::ranges::sort(held, {}, [](const auto &entry) { return entry.first; });
+    for (const auto &[since, caller] : held) {
         caller->continueHeld();
     }
-    std::vector<ReceiveState> states;
-    states.reserve(all.size());
-    for (const std::shared_ptr<CallerConnection> &caller : all) {
-        states.push_back(caller->isClosed() ? ReceiveState{} : caller->receiveState());
-    }
-    const bool isTight = std::ranges::any_of(states, [](const ReceiveState &state) { return state.phase == ReceivePhase::Held; });
-    for (const std::size_t index : bodiesToRefuse(states, now)) {
-        all[index]->refuseIncomplete();
+    if (isTight) {
+        const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+        std::vector<ReceiveState> states;
+        states.reserve(all.size());
+        for (const std::shared_ptr<CallerConnection> &caller : all) {
+            states.push_back(caller->receiveState());
+        }
+        for (const std::size_t index : bodiesToRefuse(states, now)) {
+            all[index]->refuseIncomplete();
+        }
     }
     metrics.setGauge("carobhall_request_bytes_held", {}, static_cast<double>(receiveBudget.held()));
     if (isTight != std::exchange(wasReceiveTight, isTight)) {
--- a/packages/gateway/src/gateway_intake.cpp
+++ b/packages/gateway/src/gateway_intake.cpp
@@ -139,12 +139,20 @@
 
 void Gateway::Impl::shareQuotaDemand(Micros now)
 {
-    if (now < nextQuotaReportAt || !quotas.hasQuotas()) {
+    if (now < nextQuotaReportAt || (!quotas.hasQuotas() && limitedAccounts.empty())) {
         return;
     }
     nextQuotaReportAt = now + QuotaReportInterval;
     links->broadcast(quotas.report(now));
-    for (const QuotaState &state : quotas.states(now)) {
+    const std::vector<QuotaState> states = quotas.states(now);
+    std::erase_if(limitedAccounts, [&](const std::string &account) {
+        const bool hasQuota = std::ranges::any_of(states, [&](const QuotaState &state) { return state.account == account; });
+        if (!hasQuota) {
+            logEvent(LogLevel::Info, "account_unlimited", { { "account", account }, { "per_s", 0.0 } });
+        }
+        return !hasQuota;
+    });
+    for (const QuotaState &state : states) {
         const std::string label = "account=\"" + state.account + "\"";
         metrics.setGauge("carobhall_quota_per_second", label, state.perSecond);
         metrics.setGauge("carobhall_quota_share_per_second", label, state.share);
--- a/packages/gateway/src/receive_budget.cpp
+++ b/packages/gateway/src/receive_budget.cpp
@@ -71,7 +71,8 @@
     }
     const std::size_t total = held_ + (after - before) * ReceiveCopies;
     if (isSmall(after)) {
-        return total <= limit();
+        // The reserve stays free of large requests, also of a single one that exceeds the rest.
+        return total <= limit() || static_cast<double>(total - large_) <= static_cast<double>(limit()) * options_.smallReserve;
     }
     const std::size_t otherLarge = large_ - (isSmall(before) ? 0 : before * ReceiveCopies);
     const auto largeLimit = static_cast<std::size_t>(static_cast<double>(limit()) * (1.0 - options_.smallReserve));
--- a/packages/gateway/tests/account_quotas_test.cpp
+++ b/packages/gateway/tests/account_quotas_test.cpp
@@ -163,6 +163,8 @@
             AccountQuotasOptions{ .gateway = nameOf(number), .tolerance = { .window = Window, .overshoot = Overshoot, .slack = Slack } });
         quotas->setGatewayCount(static_cast<std::uint32_t>(options_.gateways), now_);
         quotas->configure(accountsWith(rate), now_);
+        // The first report is made before any sidecar is connected, and reaches none.
+        (void)quotas->report(now_);
         for (std::size_t i = 0; i < relays_.size(); ++i) {
             // A sidecar sends what it has on a new connection.
             quotas->merge(std::to_string(i), relays_[i].sumsFor(nameOf(number), now_), now_);
@@ -420,6 +422,28 @@
     BOOST_TEST(quotas.costOf("other", 500.0) == 1.0);
 }
 
+// Guards against a request that names absurdly many tokens and, as a debt, blocks its account or distorts the usual cost of requests.
+BOOST_AUTO_TEST_CASE(aRequestThatNeverFitsIsRefused)
+{
+    AccountQuotas quotas({ .gateway = "g", .gatewayCount = 1 });
+    quotas.configure({ { .name = "a", .quota = AccountQuota{ .perSecond = 1'000.0, .burst = 1'000.0, .unit = QuotaUnit::Tokens } } }, 0);
+    const Micros now = 10 * Second;
+    BOOST_TEST(!quotas.take("a", 1e19, now).admitted);
+    BOOST_TEST(quotas.take("a", 100.0, now).admitted);
+}
+
+// Guards against a slack in tokens that makes a quota of requests meaningless.
+BOOST_AUTO_TEST_CASE(aQuotaOfRequestsBindsBesideASlackInTokens)
+{
+    AccountQuotas quotas({ .gateway = "g", .gatewayCount = 1, .tolerance = { .window = Window, .overshoot = Overshoot, .slack = Slack } });
+    quotas.configure({ { .name = "a", .quota = AccountQuota{ .perSecond = 10.0, .burst = 10.0 } } }, 0);
+    unsigned admitted = 0;
+    for (Micros now = 10 * Second; now < 18 * Second; now += Step) {
+        admitted += quotas.take("a", 1.0, now).admitted ? 1 : 0;
+    }
+    BOOST_TEST(admitted <= 10.0 * 9.0 * (1.0 + Overshoot) + 10.0);
+}
+
 // Guards against a permit that is lost with a request that has not run, and against a Retry-After that is too short.
 BOOST_AUTO_TEST_CASE(permitsComeBackAndRetryAfterIsTrue)
 {
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -365,7 +365,7 @@
 
 void Sidecar::Impl::announceVersions()
 {
-    for (const auto &[gateway, pendingPrefill] : gateways) {
+    for (const auto &[gateway, pendingPrefill] : std::map(gateways)) {
         endpoint.send(gateway, knownVersions());
     }
 }
@@ -412,7 +412,7 @@
         crashEvidence.expire(now);
         if (const CrashEvidence news = crashEvidence.takeNews(now); !news.crashes.empty() || !news.sound.empty()) {
             // Also to the sender, which may not know of a sound run.
-            for (const auto &[gateway, pendingPrefill] : gateways) {
+            for (const auto &[gateway, pendingPrefill] : std::map(gateways)) {
                 endpoint.send(gateway, news);
             }
         }
@@ -433,7 +433,7 @@
     nextLimitReportsAt = now + LimitReportInterval;
     std::erase_if(limitReports, [now](const auto &entry) { return now - entry.second.second > LimitReportLifetime; });
     const LimitReports reports = currentLimitReports(now);
-    for (const auto &[gateway, pendingPrefill] : gateways) {
+    for (const auto &[gateway, pendingPrefill] : std::map(gateways)) {
         endpoint.send(gateway, reports);
     }
 }
@@ -445,7 +445,9 @@
     }
     nextQuotaSumsAt = now + QuotaReportInterval;
     quotaRelay.expire(now);
-    for (const auto &[gateway, peer] : gatewayPeers) {
+    // A copy, because sending closes a connection whose peer does not read.
+    const std::map<ConnectionId, PeerInfo> receivers = gatewayPeers;
+    for (const auto &[gateway, peer] : receivers) {
         endpoint.send(gateway, quotaRelay.sumsFor(peer.name, now));
     }
 }
@@ -500,7 +502,7 @@
     const std::size_t count = std::min(pendingChanges.size(), MaxChangesPerMessage);
     status.changes.assign(pendingChanges.begin(), pendingChanges.begin() + static_cast<std::ptrdiff_t>(count));
     pendingChanges.erase(pendingChanges.begin(), pendingChanges.begin() + static_cast<std::ptrdiff_t>(count));
-    for (const auto &[gateway, tokens] : gateways) {
+    for (const auto &[gateway, tokens] : std::map(gateways)) {
         status.pendingPrefillTokens = pendingPrefill - tokens;
         endpoint.send(gateway, status);
     }
@@ -527,8 +529,8 @@
     if (const LimitReports reports = currentLimitReports(monotonicNow()); !reports.reports.empty()) {
         endpoint.send(connection, reports);
     }
-    if (!quotaRelay.isEmpty()) {
-        endpoint.send(connection, quotaRelay.sumsFor(gatewayPeers[connection].name, monotonicNow()));
+    if (const auto peer = gatewayPeers.find(connection); peer != gatewayPeers.end() && !quotaRelay.isEmpty()) {
+        endpoint.send(connection, quotaRelay.sumsFor(peer->second.name, monotonicNow()));
     }
 }
 
--- a/packages/wire/src/wire.cpp
+++ b/packages/wire/src/wire.cpp
@@ -20,10 +20,10 @@
 
 constexpr std::size_t LengthPrefixSize = sizeof(std::uint32_t);
 constexpr Micros SweepInterval = 250 * MicrosPerMilli;
-/// Reading from a connection pauses while this much received data waits for the main loop. Larger than the
-/// largest frame.
 /// A peer that has not shown that it belongs to the installation sends only the frames of the handshake.
 constexpr std::size_t MaxFrameBytesBeforeOpen = std::size_t{ 16 } << 10U;
+/// Reading from a connection pauses while this much received data waits for the main loop. Larger than the
+/// largest frame.
 constexpr std::size_t MaxInboundBytes = std::size_t{ 8 } << 20U;
 
 std::string makeFrame(std::string_view payload)
