--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -15,8 +15,6 @@
 constexpr Micros StallLimit = 60 * MicrosPerSecond;
 /// Retry-After, in seconds, of a request for which there is no room: other clients take it for about so long.
 constexpr std::string_view RetryAfterNoRoom = "1.000";
-/// A body that arrives more slowly on average is refused once the idle limit has passed. Slow links carry ten times as much.
-constexpr double MinBodyBytesPerSecond = 512.0;
 /// The next request of a connection waits while more bytes of the responses before it are unsent, so that a caller that sends many requests ahead
 /// does not collect their responses here.
 constexpr std::size_t MaxUnsentBeforeNextRequest = std::size_t{ 1 } << 20U;
@@ -356,10 +354,8 @@
     if (heldSince_ > 0) {
         return;
     }
-    const double bodyTime = static_cast<double>(now - waitingSince_) / MicrosPerSecond;
-    const bool bodySlow = now - waitingSince_ > requestLimits_.idleTimeout && static_cast<double>(reader_.bodyBytes()) < MinBodyBytesPerSecond * bodyTime;
     const bool headLate = !reader_.hasHead() && now - waitingSince_ > requestLimits_.headerTimeout;
-    if (headLate || bodySlow || now - lastBytesAt_ > requestLimits_.idleTimeout) {
+    if (headLate || now - lastBytesAt_ > requestLimits_.idleTimeout) {
         reject(408, headLate ? "header_timeout" : "body_timeout");
     }
 }
