--- a/packages/gateway/include/carobhall/account_quotas.h
+++ b/packages/gateway/include/carobhall/account_quotas.h
@@ -15,9 +15,11 @@
 // While the known demand of all gateways is below the quota, requests are admitted on credit, because a bucket of a small account that is
 // shared by many gateways holds less than one long request.
 //
-// Bound. In any window, requests of one account cost at most rate x window + N x credit + burst + the tolerance's permits, where N is
-// the number of gateways and credit what one of them may be in debt (QuotaCredit below); once contention is known, which takes
-// two report intervals, no further credit is given. account_quotas_test.cpp measures it against the tolerance under faults.
+// Bound. What an account uses in a window exceeds rate x window by at most the permits that all buckets hold at its start and the debts that
+// they have at its end. The buckets together hold the burst and SavedTolerance of the tolerance. The debt of one gateway is limited by
+// CalmTolerance, CalmRequests and CalmTime until contention is known, which takes two report intervals, and by ContendedTolerance and one
+// request from then on. The debts of all gateways stay within the tolerance for the loads of account_quotas_test.cpp; an account whose quota
+// is small beside one long request at each gateway can exceed it in a surge that is larger than those.
 //
 // Decision logic only: no I/O, and the caller passes the time.
 
@@ -111,7 +113,7 @@
     static constexpr double CalmRequests = 8.0;
     /// Time for which a gateway may use the whole unused rate on credit, so that demand may move to it before the others have heard of that.
     static constexpr Micros CalmTime = 200 * MicrosPerMilli;
-    /// A gateway that has just started gives no credit: it does not know what it has used before.
+    /// For so long after its start a gateway admits only what its bucket holds: it does not know what it has used before.
     static constexpr Micros StartTime = MicrosPerSecond;
     /// Weight of one request in the moving averages of costs.
     static constexpr double CostSampleWeight = 0.02;
@@ -134,7 +136,7 @@
         Micros refilledAt = 0;
         double asked = 0.0;   ///< Cost of all calls of take() since the last report.
         double demand = 0.0;  ///< Moving average of it, a second.
-        unsigned samples = 0; ///< Intervals in the average, up to those that it covers.
+        unsigned samples = 0; ///< Intervals in the average.
         std::array<double, ReportsHeld> reported{};
         double restoredDebt = 0.0; ///< Of the process before this one.
         Micros returnAt = 0;       ///< When the last one of those that were refused may return.
--- a/packages/gateway/include/carobhall/receive_pressure.h
+++ b/packages/gateway/include/carobhall/receive_pressure.h
@@ -27,7 +27,7 @@
 struct ReceiveState {
     ReceivePhase phase = ReceivePhase::Idle;
     Micros lastBytesAt = 0;
-    Micros since = 0;             ///< Held: since when. Receiving: arrival of the first byte.
+    Micros since = 0;             ///< Held: when the input was held. Receiving: arrival of the first byte, later by the time for which it was held.
     std::size_t bytes = 0;        ///< Receiving: bytes of the body so far.
     std::size_t grantedBytes = 0; ///< Of the budget.
 };
--- a/packages/gateway/src/account_quotas.cpp
+++ b/packages/gateway/src/account_quotas.cpp
@@ -92,8 +92,8 @@
     const double own = *std::ranges::min_element(metered.reported);
     const double total = fleet.othersDemand + own;
     if (total <= fleet.available) {
-        const double heard = fleet.available / std::max(MinRatePerSecond, equalShare);
-        return own + (fleet.available - total) / std::max(1.0, heard);
+        const double equalParts = fleet.available / std::max(MinRatePerSecond, equalShare);
+        return own + (fleet.available - total) / std::max(1.0, equalParts);
     }
     return std::max(fleet.available * own / total, MinShare * equalShare);
 }
--- a/packages/gateway/src/caller_connection.cpp
+++ b/packages/gateway/src/caller_connection.cpp
@@ -82,7 +82,9 @@
         }
         const ReadProgress progress = reader_.read(channel_->input());
         if (progress == ReadProgress::NeedsMore) {
-            (void)(reader_.hasHead() && reserveBody());
+            if (reader_.hasHead()) {
+                (void)reserveBody();
+            }
             break;
         }
         switch (progress) {
@@ -101,7 +103,7 @@
         if (progress != ReadProgress::Complete) {
             break;
         }
-        if (std::exchange(heldSince_, 0) > 0) {
+        if (std::exchange(bodyHeldSince_, 0) > 0) {
             channel_->setInputHeld(false);
         }
         const std::size_t bytes = reader_.bodyBytes() + heldBesidesBody(reader_.head(), channel_->input());
@@ -139,7 +141,7 @@
     const std::size_t needed = body + heldBesidesBody(reader_.head(), {});
     const bool hasRoom = grant_ ? needed <= grant_.bodyBytes() || grant_.resize(needed) : static_cast<bool>(grant_ = options_.budget->take(needed));
     if (!hasRoom) {
-        heldSince_ = heldSince_ > 0 ? heldSince_ : monotonicNow();
+        bodyHeldSince_ = bodyHeldSince_ > 0 ? bodyHeldSince_ : monotonicNow();
         channel_->setInputHeld(true);
         return false;
     }
@@ -153,7 +155,7 @@
 
 void CallerConnection::continueHeld()
 {
-    if (closed_ || heldSince_ == 0) {
+    if (closed_ || bodyHeldSince_ == 0) {
         return;
     }
     const std::shared_ptr<CallerConnection> self = shared_from_this();
@@ -162,7 +164,7 @@
     }
     // The caller could not send meanwhile, so that the time does not count against its rate.
     lastBytesAt_ = monotonicNow();
-    waitingSince_ += lastBytesAt_ - std::exchange(heldSince_, 0);
+    waitingSince_ += lastBytesAt_ - std::exchange(bodyHeldSince_, 0);
     channel_->setInputHeld(false);
     readRequests();
 }
@@ -171,13 +173,13 @@
 {
     // A caller that does not read its last response may still hold room for its next request.
     const ReceivePhase phase = writer_.isBusy() ? ReceivePhase::Busy
-        : heldSince_ > 0                        ? ReceivePhase::Held
+        : bodyHeldSince_ > 0                    ? ReceivePhase::Held
         : reader_.hasStarted()                  ? ReceivePhase::Receiving
         : channel_->undelivered() > 0           ? ReceivePhase::Busy
                                                 : ReceivePhase::Idle;
     return { .phase = phase,
              .lastBytesAt = lastBytesAt_,
-             .since = heldSince_ > 0 ? heldSince_ : waitingSince_,
+             .since = bodyHeldSince_ > 0 ? bodyHeldSince_ : waitingSince_,
              .bytes = reader_.bodyBytes(),
              .grantedBytes = grant_.bodyBytes() };
 }
@@ -351,7 +353,7 @@
         }
         return;
     }
-    if (heldSince_ > 0) {
+    if (bodyHeldSince_ > 0) {
         return;
     }
     const bool headLate = !reader_.hasHead() && now - waitingSince_ > requestLimits_.headerTimeout;
--- a/packages/gateway/src/caller_connection.h
+++ b/packages/gateway/src/caller_connection.h
@@ -131,7 +131,7 @@
     Micros lastBytesAt_ = 0;
     ResponseWriter writer_;
     ReceiveGrant grant_;           ///< For the body that is being read.
-    Micros heldSince_ = 0;         ///< When the input was held for want of room; 0: it is not held.
+    Micros bodyHeldSince_ = 0;     ///< When the input was held for want of room; 0: it is not held.
     bool continueChecked_ = false; ///< The current request's Expect header has been handled.
     bool closed_ = false;
     bool shuttingDown_ = false; ///< beginShutdown() was called.
