--- a/review/10/full_table.cpp
+++ b/review/10/full_table.cpp
@@ -9,7 +9,8 @@
 
 constexpr int Engines = 7;
 constexpr int Gateways = 2;
-constexpr double DownTime = 2.0;      ///< From a crash of a server until it is back.
+constexpr double DownTime = 2.0;      ///< From a crash on the part until the server is back.
+constexpr double FirstDownTime = 1.0; ///< The same for the crash before.
 constexpr double RecordTime = 3.6;    ///< Three reports of 1.2 s: then the store removes the record of a server that crashed.
 constexpr int LongRequests = 10;        ///< Long prompts for each server.
 constexpr std::size_t LongParts = 575;  ///< Of a dossier: 6,300 + 2,890 tokens in blocks of 16.
@@ -60,20 +61,20 @@
                       + "\"coldRemainingMs\":0,\"sequence\":1,\"born\":" + std::to_string(born)
                       + ",\"stage\":\"prefill_decode\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]}");
     }
-    void crash(const std::string &request)
+    void crash(const std::string &request, double downTime = DownTime)
     {
         if (crashing.exchange(true)) {
             return;
         }
         ++crashes;
         record.line("server %s crashes on %s", id().c_str(), request.c_str());
-        std::thread([this, old = id()] {
+        std::thread([this, old = id(), downTime] {
             server->crash();
             std::thread([old] {
                 sleepSeconds(RecordTime);
                 store.remove("servers", old);
             }).detach();
-            sleepSeconds(DownTime);
+            sleepSeconds(downTime);
             // The old object is not destroyed: threads of its connections may still run.
             (void)server.release();
             start();
@@ -303,7 +304,7 @@
     for (int i = 0; i < FirstCrashes; ++i) {
         record.line("server %s runs %d long requests", byLoad[i]->id().c_str(), byLoad[i]->running.load());
         if (trouble) {
-            byLoad[i]->crash("no request: it crashes by itself");
+            byLoad[i]->crash("no request: it crashes by itself", FirstDownTime);
         }
     }
     sleepSeconds(7);
