Show that broken responses of servers reach callers

Callers got an answer with status 000, answers whose head holds a folded line, and parts of answers whose server closed its connection while the upload was still being written.

--- /dev/null
+++ b/packages/http/tests/response_reader_test.cpp
@@ -0,0 +1,115 @@
+#define BOOST_TEST_MODULE response_reader
+#include <boost/test/unit_test.hpp>
+
+#include "broken_responses.h"
+
+#include "carobhall/http_message.h"
+
+using namespace Carobhall;
+using namespace Carobhall::Testing;
+
+namespace
+{
+
+struct Outcome {
+    ReadProgress progress = ReadProgress::NeedsMore;
+    bool exposedHead = false; ///< The head was available before the end of the message or of the bytes.
+    unsigned status = 0;
+    std::vector<HeaderField> fields;
+    std::string body;
+    std::string rest; ///< Bytes behind the message.
+};
+
+/// Reads \p response in pieces of \p pieceBytes, then the end of its connection if it has one.
+Outcome read(const TestResponse &response, std::size_t pieceBytes)
+{
+    const std::string bytes = response.with("X-Test: 1\r\n");
+    ResponseReader reader({});
+    std::string buffer;
+    Outcome outcome;
+    std::size_t offset = 0;
+    while (offset < bytes.size() && outcome.progress == ReadProgress::NeedsMore) {
+        buffer += bytes.substr(offset, pieceBytes);
+        offset += pieceBytes;
+        outcome.progress = reader.read(buffer);
+        outcome.exposedHead = outcome.exposedHead || reader.hasHead();
+    }
+    if (outcome.progress == ReadProgress::NeedsMore && response.endsWithConnection) {
+        outcome.progress = reader.readEof();
+    }
+    if (outcome.progress == ReadProgress::Complete) {
+        outcome.status = reader.head().status;
+        outcome.fields = reader.head().fields;
+        outcome.body = reader.takeBody();
+    }
+    outcome.rest = buffer + (offset < bytes.size() ? bytes.substr(offset) : std::string());
+    return outcome;
+}
+
+/// Feeds a response at once, byte by byte and in small pieces.
+constexpr std::array<std::size_t, 3> PieceSizes{ 100'000, 1, 7 };
+
+void checkRefused(const std::vector<TestResponse> &responses, bool hidesHead)
+{
+    for (const TestResponse &response : responses) {
+        for (const std::size_t pieceBytes : PieceSizes) {
+            BOOST_TEST_CONTEXT(printable(response.name) << ", in pieces of " << pieceBytes)
+            {
+                const Outcome outcome = read(response, pieceBytes);
+                BOOST_TEST((outcome.progress == ReadProgress::Malformed || outcome.progress == ReadProgress::BodyTooLarge));
+                BOOST_TEST((!hidesHead || !outcome.exposedHead));
+            }
+        }
+    }
+}
+
+} // namespace
+
+// Guards against a status line that RFC 9112 forbids or lets a recipient refuse and that is taken for a response.
+BOOST_AUTO_TEST_CASE(brokenStatusLinesAreRefused)
+{
+    checkRefused(brokenStatusLines(), true);
+}
+
+// Guards against a field line that is passed on, dropped or repaired although its response must be refused, on each line of a head.
+BOOST_AUTO_TEST_CASE(brokenFieldLinesAreRefused)
+{
+    checkRefused(brokenFieldLines(), true);
+}
+
+// Guards against a body that ends elsewhere for another reader of the same bytes.
+BOOST_AUTO_TEST_CASE(brokenFramingIsRefused)
+{
+    checkRefused(brokenFraming(), true);
+}
+
+// Guards against chunks and trailers that are repaired, and against waiting for the end of a line that is broken already.
+BOOST_AUTO_TEST_CASE(brokenChunksAreRefused)
+{
+    checkRefused(brokenChunks(), false);
+}
+
+// Guards against a response that its connection cuts and that is taken for a whole one.
+BOOST_AUTO_TEST_CASE(cutResponsesAreRefused)
+{
+    checkRefused(cutResponses(), false);
+}
+
+// Guards against refusing sound responses that look odd, and against fields of a trailer that count as fields of the head.
+BOOST_AUTO_TEST_CASE(oddResponsesAreAccepted)
+{
+    for (const TestResponse &response : oddResponses()) {
+        for (const std::size_t pieceBytes : PieceSizes) {
+            BOOST_TEST_CONTEXT(printable(response.name) << ", in pieces of " << pieceBytes)
+            {
+                const Outcome outcome = read(response, pieceBytes);
+                BOOST_TEST((outcome.progress == ReadProgress::Complete));
+                BOOST_TEST(outcome.status == response.status);
+                BOOST_TEST(outcome.body == response.body);
+                BOOST_TEST(outcome.rest.empty());
+                BOOST_TEST(findField(outcome.fields, "X-Test").value_or("") == "1");
+                BOOST_TEST(!findField(outcome.fields, "Carobhall-Not-Executed"));
+            }
+        }
+    }
+}
