Refuse responses whose status is outside 100 to 599

Callers got an answer with status 000 (and 001 to 099, 600 to 999) as the server had sent it. Cause: Beast's parser takes any three digits for a status, and nothing checked the number behind it. RFC 9110, section 15, calls such statuses invalid. The reader now stops at the status line with an error, so that the response is broken: the attempt fails, another server is asked where the route allows it, else the caller gets 502.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -22,6 +22,10 @@
     return { text.data(), text.size() };
 }
 
+/// Statuses outside this range are invalid (RFC 9110, section 15).
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 /// Interim responses before a final one. More of them keep a request waiting without end.
 constexpr unsigned MaxInterimResponses = 16;
 
@@ -89,10 +93,13 @@
         request.method = toString(method);
         request.target = toString(target);
     }
-    void on_response_impl(int status, BeastText reason, int /*version*/, BeastError & /*error*/) override
+    void on_response_impl(int status, BeastText reason, int /*version*/, BeastError &error) override
     {
         response.status = static_cast<unsigned>(status);
         response.reason = toString(reason);
+        if (response.status < MinStatus || response.status > MaxStatus) {
+            error = Http::error::bad_status;
+        }
     }
     void on_field_impl(Http::field field, BeastText name, BeastText value, BeastError & /*error*/) override
     {
