Refuse a change of protocol that no request has asked for

A server that answered 101 was taken for one that sends an interim response: what followed in its new protocol was read as the final response. Cause: the reader skipped every status from 100 to 199. No request of a gateway carries an Upgrade field, so that 101 is never sound here.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -25,6 +25,8 @@
 /// Statuses outside this range are invalid (RFC 9110, section 15).
 constexpr unsigned MinStatus = 100;
 constexpr unsigned MaxStatus = 599;
+/// Changes the protocol of the connection, which requests of this project never ask for.
+constexpr unsigned SwitchingProtocols = 101;
 
 /// Interim responses before a final one. More of them keep a request waiting without end.
 constexpr unsigned MaxInterimResponses = 16;
@@ -97,7 +99,7 @@
     {
         response.status = static_cast<unsigned>(status);
         response.reason = toString(reason);
-        if (response.status < MinStatus || response.status > MaxStatus) {
+        if (response.status < MinStatus || response.status > MaxStatus || response.status == SwitchingProtocols) {
             error = Http::error::bad_status;
         }
     }
