Refuse responses whose head continues a field line on the next line

Callers got the line joined, as if the server had sent it so; a folded "Content-Length:" or "X: a" in front of " Content-Length: 2" framed another body than the server's. Cause: Beast joins such lines (obs-fold). RFC 9112, section 5.2, lets a gateway refuse them. The reader now looks for them in the bytes of the head before it passes these on; it stops behind each part of a response, so that the bytes of the head are known.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -70,7 +70,8 @@
 public:
     explicit MessageParser(const ReaderLimits &limits)
     {
-        Base::eager(true);
+        // Stops behind each part of a response, so that what follows is seen as it was sent.
+        Base::eager(IsRequest);
         Base::header_limit(limits.maxHeaderBytes);
         Base::body_limit(limits.maxBodyBytes);
     }
@@ -78,6 +79,7 @@
     RequestHead request;
     ResponseHead response;
     std::string body;
+    bool hasHead = false;          ///< And it is not refused.
     bool ambiguousFraming = false; ///< Another HTTP implementation may determine the end of the body differently (request smuggling).
 
 private:
@@ -111,6 +113,7 @@
     }
     void on_header_impl(BeastError & /*error*/) override
     {
+        hasHead = true;
     }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, BeastError & /*error*/) override
     {
@@ -133,6 +136,13 @@
     }
 };
 
+/// Whether the lines at the front of \p text, up to the end of their section, continue a field line on the next line. Beast would join them.
+bool hasFoldedLine(std::string_view text)
+{
+    const std::string_view lines = text.substr(0, text.find("\r\n\r\n"));
+    return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
+}
+
 template<bool IsRequest>
 ReadProgress progressForError(const BeastError &error)
 {
@@ -152,9 +162,15 @@
     std::size_t consumed = 0;
     ReadProgress progress = ReadProgress::NeedsMore;
     while (consumed < buffer.size() && !parser.is_done()) {
+        const std::string_view rest = std::string_view(buffer).substr(consumed);
+        if constexpr (!IsRequest) {
+            if (!parser.hasHead && hasFoldedLine(rest)) {
+                progress = ReadProgress::Malformed;
+                break;
+            }
+        }
         BeastError error;
-        const std::size_t count = parser.put(boost::asio::const_buffer(buffer.data() + consumed, buffer.size() - consumed), error);
-        consumed += count;
+        consumed += parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         if (error && error != Http::error::need_more) {
             progress = progressForError<IsRequest>(error);
             break;
