Refuse responses whose fields frame the body in a way that RFC 9112 forbids

Callers got bodies whose end another reader sees elsewhere: for a Content-Length that is repeated or a list, for chunks in HTTP/1.0, and for a length or a Transfer-Encoding in 204 and 1xx; a 204 with a body lost its body. A head with an unknown Transfer-Encoding was reported to the gateway before it was refused. Cause: Beast accepts these fields, and the check of the coding came behind the callbacks. Sections 6.1 and 6.3 of RFC 9112 and 8.6 of RFC 9110 forbid them or let a recipient refuse. The fields are now checked at the end of the head, which counts as received only then. Content-Length: 0 in a 204 agrees with its framing and still passes.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -46,6 +46,11 @@
     return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
 }
 
+bool isInterimStatus(unsigned status)
+{
+    return status >= 100 && status < 200;
+}
+
 bool listContains(std::string_view list, std::string_view word)
 {
     while (!list.empty()) {
@@ -61,7 +66,14 @@
     return false;
 }
 
-/// Collects the head and body of one message from the callbacks of Beast's parser.
+/// Whether a response with \p status has no body, whatever its fields say.
+bool isWithoutBody(unsigned status)
+{
+    constexpr unsigned NoContent = 204;
+    return isInterimStatus(status) || status == NoContent;
+}
+
+/// Collects the head and body of one message from the callbacks of Beast's parser, and refuses what Beast accepts although a recipient need not.
 template<bool IsRequest>
 class MessageParser final : public Http::basic_parser<IsRequest>
 {
@@ -79,10 +91,11 @@
     RequestHead request;
     ResponseHead response;
     std::string body;
-    bool hasHead = false;          ///< And it is not refused.
-    bool ambiguousFraming = false; ///< Another HTTP implementation may determine the end of the body differently (request smuggling).
+    bool hasHead = false; ///< And it is not refused.
 
 private:
+    int version_ = 0; ///< Of a response: 10 or 11.
+
     std::vector<HeaderField> &fields()
     {
         if constexpr (IsRequest) {
@@ -92,27 +105,60 @@
         }
     }
 
+    /// Whether the fields of a response frame its body as RFC 9112, section 6, and RFC 9110, section 8.6, let a server do it.
+    [[nodiscard]] bool hasSoundFraming() const
+    {
+        constexpr int FirstVersionWithChunks = 11;
+        unsigned lengths = 0;
+        bool hasList = false;
+        bool announcesBody = false;
+        bool isCoded = false;
+        for (const HeaderField &field : response.fields) {
+            if (equalsIgnoringCase(field.name, "Content-Length")) {
+                ++lengths;
+                hasList = hasList || field.value.find(',') != std::string::npos;
+                announcesBody = announcesBody || field.value.find_first_not_of('0') != std::string::npos;
+            } else if (equalsIgnoringCase(field.name, "Transfer-Encoding")) {
+                isCoded = true;
+            }
+        }
+        if (lengths > 1 || hasList || (isCoded && version_ < FirstVersionWithChunks)) {
+            return false;
+        }
+        return !isWithoutBody(response.status) || (!isCoded && !announcesBody);
+    }
+
     void on_request_impl(Http::verb /*verb*/, BeastText method, BeastText target, int /*version*/, BeastError & /*error*/) override
     {
         request.method = toString(method);
         request.target = toString(target);
     }
-    void on_response_impl(int status, BeastText reason, int /*version*/, BeastError &error) override
+    void on_response_impl(int status, BeastText reason, int version, BeastError &error) override
     {
+        version_ = version;
         response.status = static_cast<unsigned>(status);
         response.reason = toString(reason);
         if (response.status < MinStatus || response.status > MaxStatus || response.status == SwitchingProtocols) {
             error = Http::error::bad_status;
         }
     }
-    void on_field_impl(Http::field field, BeastText name, BeastText value, BeastError & /*error*/) override
+    void on_field_impl(Http::field field, BeastText name, BeastText value, BeastError &error) override
     {
-        const bool isTransferEncoding = field == Http::field::transfer_encoding;
-        ambiguousFraming = ambiguousFraming || (isTransferEncoding && !equalsIgnoringCase(toString(value), "chunked"));
+        if (field == Http::field::transfer_encoding && !equalsIgnoringCase(toString(value), "chunked")) {
+            // Another implementation may determine the end of the body differently (request smuggling).
+            error = Http::error::bad_transfer_encoding;
+            return;
+        }
         fields().push_back({ toString(name), toString(value) });
     }
-    void on_header_impl(BeastError & /*error*/) override
+    void on_header_impl(BeastError &error) override
     {
+        if constexpr (!IsRequest) {
+            if (!hasSoundFraming()) {
+                error = Http::error::bad_content_length;
+                return;
+            }
+        }
         hasHead = true;
     }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, BeastError & /*error*/) override
@@ -181,9 +227,6 @@
     }
     started = started || !buffer.empty();
     buffer.erase(0, consumed);
-    if (parser.ambiguousFraming) {
-        return ReadProgress::Malformed;
-    }
     if (progress == ReadProgress::NeedsMore && parser.is_done()) {
         return ReadProgress::Complete;
     }
@@ -316,7 +359,7 @@
     }
     [[nodiscard]] bool isInterim() const
     {
-        return parser->is_done() && parser->response.status >= 100 && parser->response.status < 200;
+        return parser->is_done() && isInterimStatus(parser->response.status);
     }
 
     ReaderLimits limits;
@@ -346,7 +389,7 @@
             impl_->restart();
             continue;
         }
-        if (impl_->parser->is_header_done()) {
+        if (impl_->parser->hasHead) {
             impl_->parser->response.persistent = impl_->parser->keep_alive();
         }
         return progress;
@@ -365,7 +408,7 @@
 
 bool ResponseReader::hasHead() const
 {
-    return impl_->parser->is_header_done() && !impl_->isInterim();
+    return impl_->parser->hasHead && !isInterimStatus(impl_->parser->response.status);
 }
 
 const ResponseHead &ResponseReader::head() const
