Do not take fields of a trailer for fields of the head

A chunked response with a trailer got the trailer's fields into its head. A gateway that had the whole response in one piece passed them on, and would have taken "Carobhall-Not-Executed" there for the server's word that the request has not run: a test got 503 for a request that had. Cause: Beast reports both with one callback. RFC 9110, section 6.5.1, forbids to merge them. Fields behind the head are now dropped. Requests are read by the same parser, so that their trailers no longer count as fields of their heads either.

response_reader_test before: three failed checks in oddResponsesAreAccepted; now none.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -144,6 +144,10 @@
     }
     void on_field_impl(Http::field field, BeastText name, BeastText value, BeastError &error) override
     {
+        if (hasHead) {
+            // A field of the trailer must not count as one of the head (RFC 9110, section 6.5.1).
+            return;
+        }
         if (field == Http::field::transfer_encoding && !equalsIgnoringCase(toString(value), "chunked")) {
             // Another implementation may determine the end of the body differently (request smuggling).
             error = Http::error::bad_transfer_encoding;
