Refuse broken lines of chunks and trailers at once

A chunked response whose last lines end with a line feed alone, or whose chunk extension opens a quoted string and does not close it, was not refused: the caller waited until its time limit. A folded line in a trailer was joined. Cause: Beast looks for the end of the line, or of the whole trailer, before it looks at the bytes in front of it. What remains unparsed is now checked for control bytes and open quotes, and the trailer for folded lines.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -92,6 +92,7 @@
     ResponseHead response;
     std::string body;
     bool hasHead = false; ///< And it is not refused.
+    std::uint64_t chunkBytesLeft = 0;
 
 private:
     int version_ = 0; ///< Of a response: 10 or 11.
@@ -173,11 +174,13 @@
         body.append(data.data(), data.size());
         return data.size();
     }
-    void on_chunk_header_impl(std::uint64_t /*size*/, BeastText /*extensions*/, BeastError & /*error*/) override
+    void on_chunk_header_impl(std::uint64_t size, BeastText /*extensions*/, BeastError & /*error*/) override
     {
+        chunkBytesLeft = size;
     }
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, BeastText data, BeastError & /*error*/) override
     {
+        chunkBytesLeft -= data.size();
         body.append(data.data(), data.size());
         return data.size();
     }
@@ -193,6 +196,51 @@
     return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
 }
 
+/// The chunk header at the front of \p text, which may begin with the end of the data before it, and what follows.
+std::string_view fromChunkHeader(std::string_view text)
+{
+    return text.starts_with("\r\n") ? text.substr(2) : text;
+}
+
+/// Whether \p text, between two chunks, begins with the last chunk, which the trailer follows.
+bool isLastChunk(std::string_view text)
+{
+    const std::string_view header = fromChunkHeader(text);
+    const std::size_t end = header.find_first_not_of('0');
+    return end != 0 && end != std::string_view::npos && std::string_view("; \t\r").find(header[end]) != std::string_view::npos;
+}
+
+/// Whether \p rest begins with a chunk header whose line ends within a quoted string.
+bool hasOpenQuote(std::string_view rest)
+{
+    const std::string_view text = fromChunkHeader(rest);
+    const std::size_t end = text.find("\r\n");
+    bool quoted = false;
+    for (std::size_t i = 0; i < end && i < text.size(); ++i) {
+        if (quoted && text[i] == '\\') {
+            ++i;
+        } else if (text[i] == '"') {
+            quoted = !quoted;
+        }
+    }
+    return quoted && end != std::string_view::npos;
+}
+
+/// Whether \p rest, which is no body, holds a control byte other than a tab or the end of a line.
+bool hasControlByte(std::string_view rest)
+{
+    for (std::size_t i = 0; i < rest.size(); ++i) {
+        const auto byte = static_cast<unsigned char>(rest[i]);
+        const bool isLineFeed = byte == '\n' && i > 0 && rest[i - 1] == '\r';
+        const bool isReturn = byte == '\r' && (i + 1 == rest.size() || rest[i + 1] == '\n');
+        const bool isControl = (byte < ' ' && byte != '\t') || byte == '\x7f';
+        if (isControl && !isLineFeed && !isReturn) {
+            return true;
+        }
+    }
+    return false;
+}
+
 template<bool IsRequest>
 ReadProgress progressForError(const BeastError &error)
 {
@@ -214,7 +262,8 @@
     while (consumed < buffer.size() && !parser.is_done()) {
         const std::string_view rest = std::string_view(buffer).substr(consumed);
         if constexpr (!IsRequest) {
-            if (!parser.hasHead && hasFoldedLine(rest)) {
+            const bool areLines = !parser.hasHead || (parser.chunked() && parser.chunkBytesLeft == 0 && isLastChunk(rest));
+            if (areLines && hasFoldedLine(rest)) {
                 progress = ReadProgress::Malformed;
                 break;
             }
@@ -396,6 +445,10 @@
         if (impl_->parser->hasHead) {
             impl_->parser->response.persistent = impl_->parser->keep_alive();
         }
+        // Beast looks for the end of a line, and of the trailer, before it looks at the bytes in front of it.
+        if (progress == ReadProgress::NeedsMore && (hasControlByte(buffer) || (impl_->parser->hasHead && hasOpenQuote(buffer)))) {
+            return ReadProgress::Malformed;
+        }
         return progress;
     }
 }
