Refuse a response whose connection ends before the request is written

Callers got a part of a response as a whole one: a server answers a long upload at once with a 200 that has no length, sends part of its body, closes its side and resets the connection, or never reads on, while the upload is still being written. Cause: an orderly end of the connection ended the response, whether or not the server had received the request. A reset alone was told from it already; a reset behind the end was not, because the socket reports the end first. The end of a server that answers a whole request acknowledges all of it, so that bytes which are undelivered at the end show a server that stopped before. A response with a length or in chunks says itself where it ends and still passes (413 for an upload).

Evidence: platform_broken_response_test, anEndBeforeTheRequestIsWrittenDoesNotEndAResponse.

--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -255,7 +255,9 @@
         finish(CallEnd::NotSent);
         return;
     }
-    const bool complete = reason == ChannelEnd::PeerFinished && headReceived_ && !skipping_ && reader_.readEof() == ReadProgress::Complete;
+    // A server that has not received the whole request may have failed within its response.
+    const bool mayBeWhole = reason == ChannelEnd::PeerFinished && channel_->undelivered() == 0;
+    const bool complete = mayBeWhole && headReceived_ && !skipping_ && reader_.readEof() == ReadProgress::Complete;
     if (complete) {
         options_.onBody();
     }
