Log and count why a response was refused

The log line of a failed attempt said "broken_response" for a lost connection and for a response that RFC 9112 forbids, so that an operator could not see which server is in trouble, or with what. The lines attempt_failed and standby_failed have the field cause, and the counter carobhall_broken_responses_total the label.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -391,7 +391,7 @@
         return;
     }
     if (end == CallEnd::Broken) {
-        noteConnectionLost(*attempt_);
+        noteBroken(*attempt_);
         onAttemptFailed(Verdict::MayHaveRun, AttemptResult::Failed, "broken_response");
         return;
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -169,6 +169,8 @@
     void noteSound(Micros now);
     /// The connection of \p lost broke while the upstream may have been running the request.
     void noteConnectionLost(const Attempt &lost);
+    /// The response of \p broken was refused, or its connection was lost.
+    void noteBroken(const Attempt &broken);
     [[nodiscard]] Micros retryDelay(Micros base) const;
     /// Headers of an upstream's response that are forwarded to the caller.
     [[nodiscard]] std::vector<HeaderField> forwardedFields(const ResponseHead &head) const;
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -362,7 +362,7 @@
         noteMisdirected(*standby_);
     }
     if (end == CallEnd::Broken) {
-        noteConnectionLost(*standby_);
+        noteBroken(*standby_);
     }
     if (!refused) {
         verdict_ = combine(verdict_, Verdict::MayHaveRun);
@@ -372,6 +372,7 @@
                { "upstream", attempt_->upstream->record.id },
                { "next_upstream", standby_->upstream->record.id },
                { "status", standby_->call->head().status },
+               { "cause", standby_->call->fault() },
                { "misdirected", response.misdirected },
                { "silent_ms", (monotonicNow() - attempt_->lastProgressAt) / MicrosPerMilli } });
     if (refused) {
@@ -439,6 +440,12 @@
     options_.context->onConnectionLost(lost.upstream);
 }
 
+void Exchange::noteBroken(const Attempt &broken)
+{
+    options_.context->metrics->count("carobhall_broken_responses_total", "cause=\"" + std::string(nameOf(broken.call->fault())) + "\"");
+    noteConnectionLost(broken);
+}
+
 void Exchange::onAttemptFailed(Verdict verdict, AttemptResult result, std::string_view reason)
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
@@ -448,6 +455,7 @@
              { { "id", request_.id },
                { "upstream", upstream->record.id },
                { "reason", reason },
+               { "cause", attempt_->call->fault() },
                { "verdict", verdict },
                { "after_ms", (now - attempt_->startedAt) / MicrosPerMilli },
                { "kept_connection", attempt_->call->usedIdleConnection() },
--- a/packages/gateway/src/upstream_pool.cpp
+++ b/packages/gateway/src/upstream_pool.cpp
@@ -171,6 +171,11 @@
     return reader_.takeBody();
 }
 
+ResponseFault UpstreamCall::fault() const
+{
+    return fault_;
+}
+
 void UpstreamCall::setPaused(bool paused)
 {
     if (channel_) {
@@ -228,13 +233,17 @@
             } else if (skipping_) {
                 skippedBytes_ += reader_.takeBody().size();
                 if (skippedBytes_ > MaxSkippedBytes) {
-                    finish(CallEnd::Broken);
+                    refuse(ResponseFault::Unrelated);
                 }
             }
             return;
         }
-        if (progress != ReadProgress::Complete || (skipping_ && staleResponses_ > MaxStaleResponses)) {
-            finish(CallEnd::Broken);
+        if (progress != ReadProgress::Complete) {
+            refuse(reader_.fault());
+            return;
+        }
+        if (skipping_ && staleResponses_ > MaxStaleResponses) {
+            refuse(ResponseFault::Unrelated);
             return;
         }
         if (!skipping_) {
@@ -255,13 +264,23 @@
         finish(CallEnd::NotSent);
         return;
     }
-    // A server that has not received the whole request may have failed within its response.
-    const bool mayBeWhole = reason == ChannelEnd::PeerFinished && channel_->undelivered() == 0;
-    const bool complete = mayBeWhole && headReceived_ && !skipping_ && reader_.readEof() == ReadProgress::Complete;
-    if (complete) {
-        options_.onBody();
+    if (channel_->undelivered() > 0) {
+        // A server that has not received the whole request may have failed within its response.
+        refuse(ResponseFault::EarlyEnd);
+        return;
     }
-    finish(complete ? CallEnd::Complete : CallEnd::Broken);
+    if (reason != ChannelEnd::PeerFinished || !headReceived_ || skipping_ || reader_.readEof() != ReadProgress::Complete) {
+        refuse(ResponseFault::EndOfConnection);
+        return;
+    }
+    options_.onBody();
+    finish(CallEnd::Complete);
+}
+
+void UpstreamCall::refuse(ResponseFault cause)
+{
+    fault_ = cause;
+    finish(CallEnd::Broken);
 }
 
 void UpstreamCall::finish(CallEnd end)
--- a/packages/gateway/src/upstream_pool.h
+++ b/packages/gateway/src/upstream_pool.h
@@ -118,6 +118,8 @@
     [[nodiscard]] const ResponseHead &head() const;
     [[nodiscard]] const UpstreamResponse &response() const;
     [[nodiscard]] std::string takeBody();
+    /// Why the response was refused; None: the call has not ended with CallEnd::Broken.
+    [[nodiscard]] ResponseFault fault() const;
     /// While \p paused, the response is not read from the connection.
     void setPaused(bool paused);
     /// Whether the request was sent on a connection from the pool.
@@ -134,11 +136,14 @@
     void onChannelEnd(ChannelEnd reason);
     void readResponse();
     void finish(CallEnd end);
+    /// Ends the call with CallEnd::Broken.
+    void refuse(ResponseFault cause);
 
     UpstreamCallOptions options_;
     std::shared_ptr<Channel> channel_;
     std::string unsentRequest_; ///< Kept until the connection is established.
     ResponseReader reader_;
+    ResponseFault fault_ = ResponseFault::None;
     UpstreamResponse response_;
     Timer connectTimer_;
     bool usedIdle_ = false;
--- a/packages/http/include/carobhall/http_message.h
+++ b/packages/http/include/carobhall/http_message.h
@@ -70,6 +70,36 @@
     };
 };
 
+/// Why a response was refused.
+enum class ResponseFault : std::uint8_t {
+    None,
+    StatusLine,      ///< No status line of HTTP/1.0 or HTTP/1.1, or a status outside 100 to 599.
+    FieldLine,       ///< A line of the head or the trailer is no field line, is folded, or holds a byte that is not allowed there.
+    Framing,         ///< The fields that frame the body are invalid, contradict each other, or must not be there.
+    Chunk,           ///< A chunk does not begin or end as it must, or the trailer is invalid.
+    Interim,         ///< Too many interim responses, or a change of protocol that was not asked for.
+    TooLarge,        ///< The head or the body is longer than the limits.
+    EndOfConnection, ///< The connection ended within the response.
+    EarlyEnd,        ///< Only the end of the connection could end the response, and it came before the request was written.
+    Unrelated,       ///< Too much that belongs to other requests came instead of the response.
+};
+
+template<>
+struct EnumNames<ResponseFault> {
+    static constexpr std::array rows{
+        EnumName{ ResponseFault::None, "none" },
+        EnumName{ ResponseFault::StatusLine, "status-line" },
+        EnumName{ ResponseFault::FieldLine, "field-line" },
+        EnumName{ ResponseFault::Framing, "framing" },
+        EnumName{ ResponseFault::Chunk, "chunk" },
+        EnumName{ ResponseFault::Interim, "interim" },
+        EnumName{ ResponseFault::TooLarge, "too-large" },
+        EnumName{ ResponseFault::EndOfConnection, "end-of-connection" },
+        EnumName{ ResponseFault::EarlyEnd, "early-end" },
+        EnumName{ ResponseFault::Unrelated, "unrelated" },
+    };
+};
+
 struct ReaderLimits {
     std::uint32_t maxHeaderBytes = 16U << 10U;
     std::uint64_t maxBodyBytes = std::uint64_t{ 4 } << 20U;
@@ -103,7 +133,7 @@
     std::unique_ptr<Impl> impl_;
 };
 
-/// Parses one response. Not thread-safe.
+/// Parses one response. What RFC 9112 forbids, or lets a recipient refuse, is refused: nothing is dropped or repaired. Not thread-safe.
 class ResponseReader
 {
 public:
@@ -113,11 +143,14 @@
     ResponseReader(ResponseReader &&) noexcept;
     ResponseReader &operator=(ResponseReader &&) noexcept;
 
-    /// Like RequestReader::read(). Skips interim (1xx) responses.
+    /// Like RequestReader::read(). Skips interim (1xx) responses, and the fields of a trailer.
     ReadProgress read(std::string &buffer);
     /// Call when the peer has closed the connection normally. Returns Complete if the message is delimited by the end of the
     /// connection (no length, not chunked) or was complete already, otherwise Malformed.
     ReadProgress readEof();
+    /// Why the last call of read() or readEof() has refused the response; None: it has not.
+    [[nodiscard]] ResponseFault fault() const;
+    /// Whether the head has been received and is not refused. It stays available if the body is refused later.
     [[nodiscard]] bool hasHead() const;
     /// Precondition: hasHead().
     [[nodiscard]] const ResponseHead &head() const;
--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -91,7 +91,8 @@
     RequestHead request;
     ResponseHead response;
     std::string body;
-    bool hasHead = false; ///< And it is not refused.
+    bool hasStartLine = false; ///< And it is not refused.
+    bool hasHead = false;      ///< And it is not refused.
     std::uint64_t chunkBytesLeft = 0;
 
 private:
@@ -141,7 +142,9 @@
         response.reason = toString(reason);
         if (response.status < MinStatus || response.status > MaxStatus || response.status == SwitchingProtocols) {
             error = Http::error::bad_status;
+            return;
         }
+        hasStartLine = true;
     }
     void on_field_impl(Http::field field, BeastText name, BeastText value, BeastError &error) override
     {
@@ -241,7 +244,24 @@
     return false;
 }
 
-template<bool IsRequest>
+ResponseFault faultForError(const MessageParser<false> &parser, const BeastError &error)
+{
+    if (error == Http::error::header_limit || error == Http::error::body_limit) {
+        return ResponseFault::TooLarge;
+    }
+    if (error == Http::error::bad_obs_fold) {
+        return parser.hasHead ? ResponseFault::Chunk : ResponseFault::FieldLine;
+    }
+    if (!parser.hasStartLine) {
+        return parser.response.status == SwitchingProtocols ? ResponseFault::Interim : ResponseFault::StatusLine;
+    }
+    if (parser.hasHead) {
+        return ResponseFault::Chunk;
+    }
+    const bool isFraming = error == Http::error::bad_content_length || error == Http::error::bad_transfer_encoding;
+    return isFraming ? ResponseFault::Framing : ResponseFault::FieldLine;
+}
+
 ReadProgress progressForError(const BeastError &error)
 {
     if (error == Http::error::header_limit) {
@@ -253,25 +273,27 @@
     return ReadProgress::Malformed;
 }
 
-/// Passes \p buffer to \p parser until the message is complete or more input is needed, and removes the consumed bytes.
+/// Passes \p buffer to \p parser until the message is complete or more input is needed, and removes the consumed bytes. Sets \p error, unless the
+/// remaining line is too long.
 template<bool IsRequest>
-ReadProgress parseBuffer(MessageParser<IsRequest> &parser, std::string &buffer, bool &started, std::size_t maxLineBytes)
+ReadProgress parseBuffer(MessageParser<IsRequest> &parser, std::string &buffer, bool &started, std::size_t maxLineBytes, BeastError &error)
 {
     std::size_t consumed = 0;
     ReadProgress progress = ReadProgress::NeedsMore;
     while (consumed < buffer.size() && !parser.is_done()) {
+        error = {};
         const std::string_view rest = std::string_view(buffer).substr(consumed);
         if constexpr (!IsRequest) {
             const bool areLines = !parser.hasHead || (parser.chunked() && parser.chunkBytesLeft == 0 && isLastChunk(rest));
             if (areLines && hasFoldedLine(rest)) {
+                error = Http::error::bad_obs_fold;
                 progress = ReadProgress::Malformed;
                 break;
             }
         }
-        BeastError error;
         consumed += parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         if (error && error != Http::error::need_more) {
-            progress = progressForError<IsRequest>(error);
+            progress = progressForError(error);
             break;
         }
         if (error == Http::error::need_more) {
@@ -357,7 +379,8 @@
 
 ReadProgress RequestReader::read(std::string &buffer)
 {
-    const ReadProgress progress = parseBuffer(impl_->parser, buffer, impl_->started, impl_->limits.maxHeaderBytes);
+    BeastError error;
+    const ReadProgress progress = parseBuffer(impl_->parser, buffer, impl_->started, impl_->limits.maxHeaderBytes, error);
     if (progress == ReadProgress::Complete) {
         impl_->parser.request.persistent = impl_->parser.keep_alive();
     }
@@ -414,12 +437,18 @@
     {
         return parser->is_done() && isInterimStatus(parser->response.status);
     }
+    ReadProgress refuse(ReadProgress progress, ResponseFault cause)
+    {
+        fault = cause;
+        return progress;
+    }
 
     ReaderLimits limits;
     bool headOnly = false;
     std::optional<MessageParser<false>> parser;
     unsigned interimResponses = 0;
     bool started = false;
+    ResponseFault fault = ResponseFault::None;
 };
 
 ResponseReader::ResponseReader(const ReaderLimits &limits, bool headOnly)
@@ -434,10 +463,11 @@
 ReadProgress ResponseReader::read(std::string &buffer)
 {
     for (;;) {
-        const ReadProgress progress = parseBuffer(*impl_->parser, buffer, impl_->started, impl_->limits.maxHeaderBytes);
+        BeastError error;
+        const ReadProgress progress = parseBuffer(*impl_->parser, buffer, impl_->started, impl_->limits.maxHeaderBytes, error);
         if (progress == ReadProgress::Complete && impl_->isInterim()) {
             if (++impl_->interimResponses > MaxInterimResponses) {
-                return ReadProgress::Malformed;
+                return impl_->refuse(ReadProgress::Malformed, ResponseFault::Interim);
             }
             impl_->restart();
             continue;
@@ -445,9 +475,16 @@
         if (impl_->parser->hasHead) {
             impl_->parser->response.persistent = impl_->parser->keep_alive();
         }
+        if (progress == ReadProgress::HeadTooLarge) {
+            return impl_->refuse(progress, ResponseFault::TooLarge);
+        }
         // Beast looks for the end of a line, and of the trailer, before it looks at the bytes in front of it.
         if (progress == ReadProgress::NeedsMore && (hasControlByte(buffer) || (impl_->parser->hasHead && hasOpenQuote(buffer)))) {
-            return ReadProgress::Malformed;
+            error = Http::error::bad_line_ending;
+            return impl_->refuse(ReadProgress::Malformed, faultForError(*impl_->parser, error));
+        }
+        if (progress != ReadProgress::NeedsMore && progress != ReadProgress::Complete) {
+            return impl_->refuse(progress, faultForError(*impl_->parser, error));
         }
         return progress;
     }
@@ -456,11 +493,17 @@
 ReadProgress ResponseReader::readEof()
 {
     if (!impl_->parser->is_header_done()) {
-        return ReadProgress::Malformed;
+        return impl_->refuse(ReadProgress::Malformed, ResponseFault::EndOfConnection);
     }
     BeastError error;
     impl_->parser->put_eof(error);
-    return !error && impl_->parser->is_done() ? ReadProgress::Complete : ReadProgress::Malformed;
+    const bool complete = !error && impl_->parser->is_done();
+    return complete ? ReadProgress::Complete : impl_->refuse(ReadProgress::Malformed, ResponseFault::EndOfConnection);
+}
+
+ResponseFault ResponseReader::fault() const
+{
+    return impl_->fault;
 }
 
 bool ResponseReader::hasHead() const
