Refuse a broken line before the rest of its head arrives

A server that sent a status line like "HTTP/1.1 000 None", or a broken field line, and then nothing kept its caller waiting until the time limit, although the response could be refused at once. Cause: Beast parses a head that does not come in one piece only when it is complete. The lines of an incomplete head are now parsed on trial as soon as they are complete; what follows them cannot make up for a fault.

response_reader_test before: 58 failed checks in aBrokenLineIsRefusedBeforeTheRestOfItsHead, and 48 in brokenFieldLinesAreRefused, where a head that came byte by byte had the wrong cause; now none.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -262,6 +262,12 @@
     return isFraming ? ResponseFault::Framing : ResponseFault::FieldLine;
 }
 
+/// The fault of \p rest, lines of chunks and the trailer that are not complete, as far as it shows.
+ResponseFault faultInBody(std::string_view rest)
+{
+    return hasControlByte(rest) || hasOpenQuote(rest) ? ResponseFault::Chunk : ResponseFault::None;
+}
+
 ReadProgress progressForError(const BeastError &error)
 {
     if (error == Http::error::header_limit) {
@@ -432,11 +438,39 @@
     {
         parser.emplace(limits);
         parser->skip(headOnly);
+        checkedBytes = 0;
     }
     [[nodiscard]] bool isInterim() const
     {
         return parser->is_done() && isInterimStatus(parser->response.status);
     }
+    /// The fault of \p head, the unparsed part of a head that is not complete, as far as it shows.
+    ResponseFault faultInHead(std::string_view head)
+    {
+        constexpr std::string_view Beginning = "HTTP/1.";
+        const bool isParsed = parser->hasStartLine; // Then Beast has taken the status line from the front, perhaps with some fields.
+        const std::size_t lines = head.rfind("\r\n");
+        if (!isParsed && !Beginning.starts_with(head.substr(0, Beginning.size()))) {
+            return ResponseFault::StatusLine;
+        }
+        if (hasControlByte(head)) {
+            const std::string_view statusLine = head.substr(0, lines == std::string_view::npos ? lines : head.find("\r\n") + 2);
+            return !isParsed && hasControlByte(statusLine) ? ResponseFault::StatusLine : ResponseFault::FieldLine;
+        }
+        if (lines == std::string_view::npos || lines <= checkedBytes) {
+            return ResponseFault::None;
+        }
+        checkedBytes = lines;
+        // No line that may follow makes up for a fault of these.
+        MessageParser<false> trial(limits);
+        std::string text(isParsed ? "HTTP/1.1 200 OK\r\n" : "");
+        text.append(head.substr(0, lines)).append("\r\n\r\n");
+        bool begun = false;
+        BeastError error;
+        const ReadProgress progress = parseBuffer(trial, text, begun, limits.maxHeaderBytes, error);
+        const bool isSound = progress == ReadProgress::NeedsMore || progress == ReadProgress::Complete;
+        return isSound ? ResponseFault::None : faultForError(trial, error);
+    }
     ReadProgress refuse(ReadProgress progress, ResponseFault cause)
     {
         fault = cause;
@@ -446,6 +480,7 @@
     ReaderLimits limits;
     bool headOnly = false;
     std::optional<MessageParser<false>> parser;
+    std::size_t checkedBytes = 0; ///< Of a head that is not complete: the lines in which faultInHead() has found no fault.
     unsigned interimResponses = 0;
     bool started = false;
     ResponseFault fault = ResponseFault::None;
@@ -478,15 +513,12 @@
         if (progress == ReadProgress::HeadTooLarge) {
             return impl_->refuse(progress, ResponseFault::TooLarge);
         }
-        // Beast looks for the end of a line, and of the trailer, before it looks at the bytes in front of it.
-        if (progress == ReadProgress::NeedsMore && (hasControlByte(buffer) || (impl_->parser->hasHead && hasOpenQuote(buffer)))) {
-            error = Http::error::bad_line_ending;
-            return impl_->refuse(ReadProgress::Malformed, faultForError(*impl_->parser, error));
+        if (progress == ReadProgress::NeedsMore) {
+            // Beast looks for the end of a head, a chunk header or a trailer before it looks at the bytes in front of it.
+            const ResponseFault early = impl_->parser->hasHead ? faultInBody(buffer) : impl_->faultInHead(buffer);
+            return early == ResponseFault::None ? progress : impl_->refuse(ReadProgress::Malformed, early);
         }
-        if (progress != ReadProgress::NeedsMore && progress != ReadProgress::Complete) {
-            return impl_->refuse(progress, faultForError(*impl_->parser, error));
-        }
-        return progress;
+        return progress == ReadProgress::Complete ? progress : impl_->refuse(progress, faultForError(*impl_->parser, error));
     }
 }
 
--- a/packages/http/tests/response_reader_test.cpp
+++ b/packages/http/tests/response_reader_test.cpp
@@ -14,6 +14,7 @@
 struct Outcome {
     ReadProgress progress = ReadProgress::NeedsMore;
     bool exposedHead = false; ///< The head was available before the end of the message or of the bytes.
+    ResponseFault fault = ResponseFault::None;
     unsigned status = 0;
     std::vector<HeaderField> fields;
     std::string body;
@@ -37,6 +38,7 @@
     if (outcome.progress == ReadProgress::NeedsMore && response.endsWithConnection) {
         outcome.progress = reader.readEof();
     }
+    outcome.fault = reader.fault();
     if (outcome.progress == ReadProgress::Complete) {
         outcome.status = reader.head().status;
         outcome.fields = reader.head().fields;
@@ -49,7 +51,7 @@
 /// Feeds a response at once, byte by byte and in small pieces.
 constexpr std::array<std::size_t, 3> PieceSizes{ 100'000, 1, 7 };
 
-void checkRefused(const std::vector<TestResponse> &responses, bool hidesHead)
+void checkRefused(const std::vector<TestResponse> &responses, ResponseFault fault, bool hidesHead)
 {
     for (const TestResponse &response : responses) {
         for (const std::size_t pieceBytes : PieceSizes) {
@@ -57,6 +59,10 @@
             {
                 const Outcome outcome = read(response, pieceBytes);
                 BOOST_TEST((outcome.progress == ReadProgress::Malformed || outcome.progress == ReadProgress::BodyTooLarge));
+                const bool isInterim = outcome.fault == ResponseFault::Interim && response.bytes.starts_with("HTTP/1.1 101");
+                // The first line of a folded field that frames the body is faulty before it is seen to be folded.
+                const bool isFolded = outcome.fault == ResponseFault::Framing && response.name.starts_with("framing field line") && pieceBytes == 1;
+                BOOST_TEST((outcome.fault == fault || isInterim || isFolded), nameOf(outcome.fault));
                 BOOST_TEST((!hidesHead || !outcome.exposedHead));
             }
         }
@@ -65,34 +71,55 @@
 
 } // namespace
 
-// Guards against a status line that RFC 9112 forbids or lets a recipient refuse and that is taken for a response.
+// Guards against a status line that RFC 9112 forbids or lets a recipient refuse and that is taken for a response, and, like the next four, against
+// a wrong cause in logs and counters.
 BOOST_AUTO_TEST_CASE(brokenStatusLinesAreRefused)
 {
-    checkRefused(brokenStatusLines(), true);
+    checkRefused(brokenStatusLines(), ResponseFault::StatusLine, true);
 }
 
 // Guards against a field line that is passed on, dropped or repaired although its response must be refused, on each line of a head.
 BOOST_AUTO_TEST_CASE(brokenFieldLinesAreRefused)
 {
-    checkRefused(brokenFieldLines(), true);
+    checkRefused(brokenFieldLines(), ResponseFault::FieldLine, true);
 }
 
 // Guards against a body that ends elsewhere for another reader of the same bytes.
 BOOST_AUTO_TEST_CASE(brokenFramingIsRefused)
 {
-    checkRefused(brokenFraming(), true);
+    checkRefused(brokenFraming(), ResponseFault::Framing, true);
 }
 
 // Guards against chunks and trailers that are repaired, and against waiting for the end of a line that is broken already.
 BOOST_AUTO_TEST_CASE(brokenChunksAreRefused)
 {
-    checkRefused(brokenChunks(), false);
+    checkRefused(brokenChunks(), ResponseFault::Chunk, false);
 }
 
 // Guards against a response that its connection cuts and that is taken for a whole one.
 BOOST_AUTO_TEST_CASE(cutResponsesAreRefused)
 {
-    checkRefused(cutResponses(), false);
+    checkRefused(cutResponses(), ResponseFault::EndOfConnection, false);
+}
+
+// Guards against waiting for the rest of a head, which a server in trouble may never send, when one of its lines is broken already.
+BOOST_AUTO_TEST_CASE(aBrokenLineIsRefusedBeforeTheRestOfItsHead)
+{
+    for (const auto &responses : { brokenStatusLines(), brokenFieldLines() }) {
+        for (const TestResponse &response : responses) {
+            const std::size_t begin = response.bytes.find(FieldsMark);
+            // The mark is in front of a broken line that is the last one.
+            if (begin != TestStatusLine.size()) {
+                for (const std::size_t pieceBytes : PieceSizes) {
+                    BOOST_TEST_CONTEXT(printable(response.name) << ", in pieces of " << pieceBytes)
+                    {
+                        const Outcome outcome = read({ .name = response.name, .bytes = response.bytes.substr(0, begin) }, pieceBytes);
+                        BOOST_TEST((outcome.progress == ReadProgress::Malformed));
+                    }
+                }
+            }
+        }
+    }
 }
 
 // Guards against refusing sound responses that look odd, and against fields of a trailer that count as fields of the head.
@@ -104,6 +131,7 @@
             {
                 const Outcome outcome = read(response, pieceBytes);
                 BOOST_TEST((outcome.progress == ReadProgress::Complete));
+                BOOST_TEST((outcome.fault == ResponseFault::None), nameOf(outcome.fault));
                 BOOST_TEST(outcome.status == response.status);
                 BOOST_TEST(outcome.body == response.body);
                 BOOST_TEST(outcome.rest.empty());
