Read replies of the store and of model servers with the gateway's reader

Cause: HttpClient was libsoup's, which drops lines that it cannot parse and does not tell the end of a connection. HttpClient now uses Channel and ResponseReader. It keeps its interface, the limits of connections and bytes, and the rule that only a GET is sent again, once, when a kept connection ends before any byte of the reply. A refused reply is one log line (reply_refused with its cause), a count in carobhall_refused_replies_total, and ConnectionLost as before for a reply that cannot be used. Redirects and 421 are no longer followed or repeated on their own, and no compressed replies are asked for.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -68,7 +68,7 @@
                 .random = &random })
     , listener([this](int descriptor) { onAccept(descriptor); })
     , readiness(soup_server_new("server-header", "carobhall", nullptr))
-    , http({})
+    , http({ .metrics = &metrics })
 {
 }
 
--- a/packages/http/tests/broken_responses.h
+++ b/packages/http/tests/broken_responses.h
@@ -198,10 +198,13 @@
         const std::string next = name.find(" 204 ") == std::string::npos ? headWith(TestStatusLine) : std::string();
         // The final response of an interim one has the test's fields.
         const std::string head = name + (next.empty() ? std::string(FieldsMark) : std::string());
-        all.push_back({ .name = name + "with a length", .bytes = head + "Content-Length: 2\r\n\r\nok" + next });
-        all.push_back({ .name = name + "with a length and no body", .bytes = head + "Content-Length: 2\r\n\r\n" + next });
-        all.push_back({ .name = name + "in chunks", .bytes = head + "Transfer-Encoding: chunked\r\n\r\n" + chunks + next });
-        all.push_back({ .name = name + "said to be in chunks", .bytes = head + "Transfer-Encoding: chunked\r\n\r\n" + next });
+        const auto add = [&](std::string_view what, std::string_view fields, std::string_view body) {
+            all.push_back({ .name = std::string(name).append(what), .bytes = std::string(head).append(fields).append("\r\n").append(body).append(next) });
+        };
+        add("with a length", "Content-Length: 2\r\n", "ok");
+        add("with a length and no body", "Content-Length: 2\r\n", "");
+        add("in chunks", "Transfer-Encoding: chunked\r\n", chunks);
+        add("said to be in chunks", "Transfer-Encoding: chunked\r\n", "");
     }
     all.push_back({ .name = "change of protocol that nobody asked for",
                     .bytes = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + headWith(TestStatusLine) });
@@ -313,7 +316,9 @@
     all.push_back({ .name = "line ends in a chunk", .bytes = inChunks("8\r\n\n\r\r\n\0 \x01\r\r\n0\r\n\r\n"s), .body = "\n\r\r\n\0 \x01\r"s });
     for (const std::string &body : { "0\r\n a"s, "0;a=\"\r\n"s, "\r\n0\r\nX\r\n\t"s }) {
         const std::string size = std::to_string(body.size());
-        all.push_back({ .name = "chunk that looks like the last one " + body, .bytes = inChunks(size + "\r\n" + body + "\r\n0\r\n\r\n"), .body = body });
+        all.push_back({ .name = "chunk that looks like the last one " + body,
+                        .bytes = inChunks(std::string(size).append("\r\n").append(body).append("\r\n0\r\n\r\n")),
+                        .body = body });
         all.push_back({ .name = "body that looks like chunks " + body, .bytes = framedBy("Content-Length: " + size + "\r\n", body), .body = body });
     }
     all.push_back(
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -1,11 +1,12 @@
 #include "carobhall/http_client.h"
 
-#include <gio/gio.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include "carobhall/channel.h"
+#include "carobhall/http_message.h"
 
 #include <algorithm>
+#include <list>
 #include <unordered_map>
+#include <utility>
 
 namespace Carobhall
 {
@@ -13,159 +14,255 @@
 namespace
 {
 
-/// TCP keepalive: detects within three seconds that the peer of a waiting call is unreachable.
-constexpr int KeepaliveIdleSeconds = 1;
-constexpr int KeepaliveIntervalSeconds = 1;
-constexpr int KeepaliveProbeCount = 2;
+constexpr std::uint32_t MaxHeadBytes = 32U << 10U;
 
-void onNetworkEvent(SoupMessage * /*message*/, GSocketClientEvent event, GIOStream *connection, gpointer /*data*/)
+/// The parts of a URL that begins with "http://".
+struct Target {
+    std::string address; ///< "ip:port".
+    std::string path;
+};
+
+std::optional<Target> parseUrl(std::string_view url)
 {
-    if (event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(connection)) {
-        return;
-    }
-    GSocket *const socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection));
-    g_socket_set_keepalive(socket, TRUE);
-    // Failures are ignored: without these options, the time limit of the call detects an unreachable peer, only later.
-    (void)g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepaliveIdleSeconds, nullptr);
-    (void)g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepaliveIntervalSeconds, nullptr);
-    (void)g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepaliveProbeCount, nullptr);
+    constexpr std::string_view Scheme = "http://";
+    if (!url.starts_with(Scheme)) {
+        return std::nullopt;
+    }
+    url.remove_prefix(Scheme.size());
+    const std::size_t slash = url.find('/');
+    if (slash == 0) {
+        return std::nullopt;
+    }
+    return Target{ .address = std::string(url.substr(0, slash)), .path = slash == std::string_view::npos ? "/" : std::string(url.substr(slash)) };
+}
+
+std::string requestBytes(const HttpCall &call, const Target &target)
+{
+    std::string bytes = std::string(call.method) + " " + target.path + " HTTP/1.1\r\n";
+    appendField(bytes, "Host", target.address);
+    for (const auto &[name, value] : call.headers) {
+        appendField(bytes, name, value);
+    }
+    if (!call.contentType.empty()) {
+        appendField(bytes, "Content-Type", call.contentType);
+        appendField(bytes, "Content-Length", std::to_string(call.body.size()));
+    }
+    return bytes.append("\r\n").append(call.body);
 }
 
 } // namespace
 
 struct HttpClient::Impl : std::enable_shared_from_this<Impl> {
     struct PendingCall {
-        ObjectRef<SoupMessage> message;
-        ObjectRef<GCancellable> cancellable;
+        HttpCall call;
+        Target target;
         std::function<void(HttpReply)> done;
         Timer timer;
-        bool timedOut = false;
+        std::shared_ptr<Channel> channel; ///< Null while the call waits for a connection.
+        std::optional<ResponseReader> reader{};
+        std::string body{};
+        bool usesKeptConnection = false;
+        bool wasRepeated = false;
     };
-    /// Passed through the asynchronous operations of one call.
-    struct CallContext {
-        std::weak_ptr<Impl> owner;
-        std::uint64_t callId = 0;
-        std::size_t maxReplyBytes = 0;
-        ObjectRef<GCancellable> cancellable;
-        ObjectRef<GInputStream> stream{};
-        HttpReply reply{};
+    struct IdleConnection {
+        std::string address;
+        std::shared_ptr<Channel> channel;
+        Micros usableUntil = 0;
     };
-    static constexpr gsize ReadSize = gsize{ 32 } << 10U;
 
     explicit Impl(const HttpClientOptions &clientOptions)
         : options(clientOptions)
-        , session(soup_session_new_with_options("max-conns", options.maxConnections, "max-conns-per-host", options.maxConnections, "idle-timeout",
-                                                options.idleTimeoutSeconds, "timeout", 0U, "proxy-resolver", nullptr, nullptr))
     {
     }
 
-    static std::error_code takeError(GError *failure)
+    /// Removes the kept connections that cannot be used any more.
+    void expireIdle()
     {
-        const bool refused = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != FALSE;
-        g_error_free(failure);
-        return refused ? Errc::PlatformUnavailable : Errc::ConnectionLost;
+        idle.remove_if([now = monotonicNow()](const IdleConnection &connection) {
+            const bool usable = connection.channel->isOpen() && connection.usableUntil > now;
+            if (!usable) {
+                connection.channel->close();
+            }
+            return !usable;
+        });
+    }
+
+    /// A kept connection to \p address; null if there is none.
+    std::shared_ptr<Channel> takeIdle(const std::string &address)
+    {
+        const auto found = std::ranges::find(idle, address, &IdleConnection::address);
+        if (found == idle.end()) {
+            return nullptr;
+        }
+        std::shared_ptr<Channel> channel = std::move(found->channel);
+        idle.erase(found);
+        return channel;
     }
 
-    static void onHead(GObject *source, GAsyncResult *result, gpointer data)
+    void release(const std::string &address, std::shared_ptr<Channel> channel)
     {
-        std::unique_ptr<CallContext> context(static_cast<CallContext *>(data));
-        GError *failure = nullptr;
-        context->stream.reset(soup_session_send_finish(SOUP_SESSION(source), result, &failure));
-        if (failure != nullptr) {
-            context->reply.error = takeError(failure);
-            finish(*context);
+        // Bytes that arrive on an idle connection belong to no call; the connection is not used again.
+        Channel *const raw = channel.get();
+        channel->setCallbacks([raw] { raw->close(); }, [](ChannelEnd) {});
+        idle.push_back({ .address = address, .channel = std::move(channel), .usableUntil = monotonicNow() + options.idleTimeout });
+    }
+
+    /// Gives the call \p id a connection, or lets it wait for one.
+    void start(std::uint64_t id)
+    {
+        expireIdle();
+        PendingCall &pending = *pendingCalls.at(id);
+        const bool mayBeRepeated = std::string_view(pending.call.method) == "GET";
+        pending.channel = mayBeRepeated && !pending.wasRepeated ? takeIdle(pending.target.address) : nullptr;
+        pending.usesKeptConnection = pending.channel != nullptr;
+        const auto onData = [weak = weak_from_this(), id] {
+            if (const auto self = weak.lock()) {
+                self->onData(id);
+            }
+        };
+        const auto onEnd = [weak = weak_from_this(), id](ChannelEnd reason) {
+            if (const auto self = weak.lock()) {
+                self->onEnd(id, reason);
+            }
+        };
+        if (pending.channel) {
+            pending.channel->setCallbacks(onData, onEnd);
+        } else {
+            if (inUse + idle.size() >= options.maxConnections && !idle.empty()) {
+                idle.front().channel->close();
+                idle.pop_front();
+            }
+            if (inUse >= options.maxConnections) {
+                waiting.push_back(id);
+                return;
+            }
+            pending.channel = Channel::connect(pending.target.address, { .onData = onData, .onEnd = onEnd });
+        }
+        if (!pending.channel) {
+            failLater(id, Errc::PlatformUnavailable);
             return;
         }
-        readMore(std::move(context));
+        ++inUse;
+        pending.reader.emplace(ReaderLimits{ .maxHeaderBytes = MaxHeadBytes, .maxBodyBytes = options.maxReplyBytes },
+                               std::string_view(pending.call.method) == "HEAD");
+        pending.channel->write(requestBytes(pending.call, pending.target));
+    }
+
+    /// Ends the call \p id from the main loop.
+    void failLater(std::uint64_t id, Errc error)
+    {
+        pendingCalls.at(id)->timer.startOnce(0, [this, id, error] { finish(id, { .error = error, .headers = {}, .body = {} }); });
     }
 
-    static void readMore(std::unique_ptr<CallContext> context)
+    void onData(std::uint64_t id)
     {
-        CallContext *const raw = context.release();
-        g_input_stream_read_bytes_async(raw->stream.get(), ReadSize, G_PRIORITY_DEFAULT, raw->cancellable.get(), &Impl::onBytes, raw);
+        PendingCall &pending = *pendingCalls.at(id);
+        const ReadProgress progress = pending.reader->read(pending.channel->input());
+        pending.body += pending.reader->takeBody();
+        if (progress == ReadProgress::Complete) {
+            complete(id);
+        } else if (progress == ReadProgress::BodyTooLarge || pending.body.size() > options.maxReplyBytes) {
+            // The body may have no end.
+            refuse(id, ResponseFault::TooLarge, Errc::TooLarge);
+        } else if (progress != ReadProgress::NeedsMore) {
+            refuse(id, pending.reader->fault(), Errc::ConnectionLost);
+        }
     }
 
-    static void onBytes(GObject *source, GAsyncResult *result, gpointer data)
+    void onEnd(std::uint64_t id, ChannelEnd reason)
     {
-        std::unique_ptr<CallContext> context(static_cast<CallContext *>(data));
-        GError *failure = nullptr;
-        GBytes *const bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, &failure);
-        if (failure != nullptr) {
-            context->reply.error = takeError(failure);
-            finish(*context);
+        PendingCall &pending = *pendingCalls.at(id);
+        if (reason == ChannelEnd::ConnectFailed) {
+            finish(id, { .error = Errc::PlatformUnavailable, .headers = {}, .body = {} });
             return;
         }
-        gsize size = 0;
-        const auto *const text = static_cast<const char *>(g_bytes_get_data(bytes, &size));
-        context->reply.body.append(text == nullptr ? "" : text, size);
-        g_bytes_unref(bytes);
-        if (context->reply.body.size() > context->maxReplyBytes) {
-            // The body may have no end. Cancelling closes the connection.
-            context->reply.error = Errc::TooLarge;
-            context->reply.body.clear();
-            g_cancellable_cancel(context->cancellable.get());
-            finish(*context);
+        if (!pending.reader->hasStarted()) {
+            if (pending.usesKeptConnection && !std::exchange(pending.wasRepeated, true)) {
+                // The server has closed the connection while it was idle.
+                --inUse;
+                start(id);
+                return;
+            }
+            finish(id, { .error = Errc::ConnectionLost, .headers = {}, .body = {} });
             return;
         }
-        if (size > 0) {
-            readMore(std::move(context));
+        const bool wasWritten = pending.channel->undelivered() == 0;
+        // A body without a length that is empty may have been cut before its first byte, and no call has a use for it.
+        const bool mayBeWhole = reason == ChannelEnd::PeerFinished && wasWritten && !pending.body.empty();
+        if (mayBeWhole && pending.reader->readEof() == ReadProgress::Complete) {
+            complete(id);
             return;
         }
-        finish(*context);
+        refuse(id, wasWritten ? ResponseFault::EndOfConnection : ResponseFault::EarlyEnd, Errc::ConnectionLost);
+    }
+
+    void refuse(std::uint64_t id, ResponseFault cause, Errc error)
+    {
+        const PendingCall &pending = *pendingCalls.at(id);
+        logEvent(LogLevel::Warning, "reply_refused",
+                 { { "address", pending.target.address }, { "method", pending.call.method }, { "path", pending.target.path }, { "cause", cause } });
+        if (options.metrics != nullptr) {
+            options.metrics->count("carobhall_refused_replies_total", "cause=\"" + std::string(nameOf(cause)) + "\"");
+        }
+        finish(id, { .error = error, .headers = {}, .body = {} });
     }
 
-    static void finish(CallContext &context)
+    void complete(std::uint64_t id)
     {
-        if (context.stream) {
-            // Without a pending operation this closes at once. A body that was read to its end leaves the connection reusable.
-            g_input_stream_close(context.stream.get(), context.cancellable.get(), nullptr);
+        PendingCall &pending = *pendingCalls.at(id);
+        const ResponseHead &head = pending.reader->head();
+        HttpReply reply{ .error = {}, .status = head.status, .headers = {}, .body = std::move(pending.body) };
+        for (const HeaderField &field : head.fields) {
+            std::string key = field.name;
+            std::ranges::transform(key, key.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+            reply.headers[key] = field.value;
         }
-        if (const auto self = context.owner.lock()) {
-            self->complete(context.callId, std::move(context.reply));
+        Channel &channel = *pending.channel;
+        // Bytes behind the reply belong to no call, and the rest of an unsent request would be read as the next one.
+        if (head.persistent && channel.isOpen() && channel.input().empty() && channel.unsent() == 0) {
+            release(pending.target.address, std::move(pending.channel));
+            --inUse;
         }
+        finish(id, std::move(reply));
     }
 
-    /// Whether a reply without a body may have been cut in its head: libsoup takes a head that ends with the connection behind any of its lines
-    /// for a whole one. The field that frames the body may be missing then, or the body itself.
-    static bool mayBeCutInHead(SoupMessage *message)
+    /// Ends the call \p id, closes its connection if it still has one, and runs its handler.
+    void finish(std::uint64_t id, HttpReply reply)
     {
-        const auto status = static_cast<unsigned>(soup_message_get_status(message));
-        const bool hasNoBody = status == SOUP_STATUS_NO_CONTENT || status == SOUP_STATUS_NOT_MODIFIED
-            || std::string_view(soup_message_get_method(message)) == "HEAD";
-        return !hasNoBody && soup_message_headers_get_encoding(soup_message_get_response_headers(message)) != SOUP_ENCODING_CONTENT_LENGTH;
+        const auto self = shared_from_this();
+        const std::unique_ptr<PendingCall> pending = take(id);
+        startWaiting();
+        pending->done(std::move(reply));
     }
 
-    void complete(std::uint64_t callId, HttpReply reply)
+    std::unique_ptr<PendingCall> take(std::uint64_t id)
     {
-        const auto found = pendingCalls.find(callId);
-        if (found == pendingCalls.end()) {
-            return;
-        }
-        const std::unique_ptr<PendingCall> pendingCall = std::move(found->second);
+        const auto found = pendingCalls.find(id);
+        std::unique_ptr<PendingCall> pending = std::move(found->second);
         pendingCalls.erase(found);
-        pendingCall->timer.stop();
-        if (pendingCall->timedOut) {
-            reply.error = Errc::Timeout;
-        } else if (!reply.error && reply.body.empty() && mayBeCutInHead(pendingCall->message.get())) {
-            reply.error = Errc::ConnectionLost;
-        } else if (!reply.error) {
-            reply.status = soup_message_get_status(pendingCall->message.get());
-            SoupMessageHeadersIter iterator;
-            const char *name = nullptr;
-            const char *value = nullptr;
-            soup_message_headers_iter_init(&iterator, soup_message_get_response_headers(pendingCall->message.get()));
-            while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE) {
-                std::string key = name;
-                std::ranges::transform(key, key.begin(), [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
-                reply.headers[key] = value;
-            }
+        pending->timer.stop();
+        std::erase(waiting, id);
+        if (const std::shared_ptr<Channel> channel = std::exchange(pending->channel, nullptr)) {
+            channel->abort();
+            --inUse;
+        }
+        return pending;
+    }
+
+    void startWaiting()
+    {
+        while (!waiting.empty() && inUse < options.maxConnections) {
+            const std::uint64_t id = waiting.front();
+            waiting.erase(waiting.begin());
+            start(id);
         }
-        pendingCall->done(std::move(reply));
     }
 
     HttpClientOptions options;
-    ObjectRef<SoupSession> session;
     std::unordered_map<std::uint64_t, std::unique_ptr<PendingCall>> pendingCalls;
+    std::vector<std::uint64_t> waiting; ///< Calls that wait for a connection, in the order in which they were sent.
+    std::list<IdleConnection> idle;
+    std::size_t inUse = 0; ///< Connections of calls.
     std::uint64_t lastCallId = 0;
 };
 
@@ -176,62 +273,34 @@
 
 HttpClient::~HttpClient()
 {
-    for (const auto &[callId, pendingCall] : impl_->pendingCalls) {
-        g_cancellable_cancel(pendingCall->cancellable.get());
-    }
     impl_->pendingCalls.clear();
 }
 
 std::uint64_t HttpClient::send(HttpCall call, std::function<void(HttpReply)> done)
 {
-    const std::uint64_t callId = ++impl_->lastCallId;
-    auto pendingCall = std::make_unique<Impl::PendingCall>();
-    pendingCall->message.reset(soup_message_new(call.method, call.url.c_str()));
-    pendingCall->cancellable.reset(g_cancellable_new());
-    pendingCall->done = std::move(done);
-    SoupMessage *const message = pendingCall->message.get();
-    if (message == nullptr) {
-        pendingCall->timer.startOnce(0,
-                                     [impl = impl_.get(), callId] { impl->complete(callId, { .error = Errc::InvalidSettings, .headers = {}, .body = {} }); });
-        impl_->pendingCalls[callId] = std::move(pendingCall);
-        return callId;
-    }
-    const std::string_view method(call.method);
-    if (method != "GET") {
-        // libsoup automatically resends a request when a reused connection breaks. Writes must not be resent without the caller's
-        // knowledge, so they get a new connection.
-        soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    const std::uint64_t id = ++impl_->lastCallId;
+    std::optional<Target> target = parseUrl(call.url);
+    Impl::PendingCall &pending = *impl_->pendingCalls.emplace(id, std::make_unique<Impl::PendingCall>()).first->second;
+    pending.call = std::move(call);
+    pending.done = std::move(done);
+    if (!target) {
+        impl_->failLater(id, Errc::InvalidSettings);
+        return id;
     }
-    for (const auto &[name, value] : call.headers) {
-        soup_message_headers_replace(soup_message_get_request_headers(message), name.c_str(), value.c_str());
-    }
-    if (!call.contentType.empty()) {
-        GBytes *const body = g_bytes_new(call.body.data(), call.body.size());
-        soup_message_set_request_body_from_bytes(message, call.contentType.c_str(), body);
-        g_bytes_unref(body);
-    }
-    g_signal_connect(message, "network-event", G_CALLBACK(&onNetworkEvent), nullptr);
-    Impl::PendingCall *const callState = pendingCall.get();
-    callState->timer.startOnce(call.timeout, [callState] {
-        callState->timedOut = true;
-        g_cancellable_cancel(callState->cancellable.get());
-    });
-    impl_->pendingCalls[callId] = std::move(pendingCall);
-    auto context = std::make_unique<Impl::CallContext>(Impl::CallContext{
-        .owner = impl_, .callId = callId, .maxReplyBytes = impl_->options.maxReplyBytes, .cancellable = refObject(callState->cancellable.get()) });
-    soup_session_send_async(impl_->session.get(), message, G_PRIORITY_DEFAULT, callState->cancellable.get(), &Impl::onHead, context.release());
-    return callId;
+    pending.target = std::move(*target);
+    pending.timer.startOnce(pending.call.timeout, [impl = impl_.get(), id] { impl->finish(id, { .error = Errc::Timeout, .headers = {}, .body = {} }); });
+    impl_->start(id);
+    return id;
 }
 
 void HttpClient::cancel(std::uint64_t call)
 {
-    const auto found = impl_->pendingCalls.find(call);
-    if (found == impl_->pendingCalls.end()) {
-        return;
+    if (impl_->pendingCalls.contains(call)) {
+        // Destroying the handler may be the last use of the client's owner.
+        const auto impl = impl_;
+        const std::unique_ptr<Impl::PendingCall> cancelled = impl->take(call);
+        impl->startWaiting();
     }
-    const std::unique_ptr<Impl::PendingCall> pendingCall = std::move(found->second);
-    impl_->pendingCalls.erase(found);
-    g_cancellable_cancel(pendingCall->cancellable.get());
 }
 
 } // namespace Carobhall
--- a/packages/sidecar/include/carobhall/sidecar.h
+++ b/packages/sidecar/include/carobhall/sidecar.h
@@ -32,6 +32,7 @@
     PlatformObjectCodec objectCodec{};
     EngineCodec engine{};
     PlatformClient *platform = nullptr;
+    Metrics *metrics = nullptr;        ///< Must outlive the sidecar. Null: nothing is counted.
     std::function<void()> onStopped{}; ///< Called when the shutdown is complete.
     /// The number of model servers of the service, each with a sidecar. May be empty.
     std::function<void(std::uint32_t count)> onFleetSize{};
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -99,7 +99,7 @@
 
 Sidecar::Impl::Impl(SidecarOptions sidecarOptions)
     : options(std::move(sidecarOptions))
-    , http({})
+    , http({ .metrics = options.metrics })
     , endpoint({ .context = nullptr,
                  .keys = installationKeys(options.settings.platformAddress),
                  .self = { .name = options.settings.name,
