Refuse broken responses of servers in the agent

The agent, which calls servers in the project's own interface, passed on as complete 148 of 212 broken responses: a response with a broken field line lost the line, and with it the length of its body, and responses that their connection cuts in the head or in chunks were whole. Cause: as for replies of the store, libsoup read them. UpstreamCall now uses Channel and ResponseReader, with the limits as before (a new connection for each call, 30 s of silence, 1 MiB for an event). A refused response is one log line (response_refused with its cause) and a failed call.

agent_broken_response_test: 148 failed checks of 212 before (148 counted as complete), none now; sound responses that look odd pass. agent_test, fleet_test, load_test and the demo pass.

--- a/packages/agent/src/upstream_call.cpp
+++ b/packages/agent/src/upstream_call.cpp
@@ -1,6 +1,12 @@
 #include "upstream_call.h"
 
+#include "carobhall/channel.h"
+#include "carobhall/http_message.h"
+
+#include <algorithm>
 #include <charconv>
+#include <limits>
+#include <utility>
 
 namespace Carobhall
 {
@@ -8,17 +14,28 @@
 namespace
 {
 
-constexpr gsize ReadBytes = 16384;
+/// Calls fail when the upstream sends nothing for this long, because it has then probably hung.
+constexpr Micros SilenceLimit = 30 * MicrosPerSecond;
+/// A response is passed on as it arrives, so that its length is not limited.
+constexpr ReaderLimits ResponseLimits{ .maxHeaderBytes = 32U << 10U, .maxBodyBytes = std::numeric_limits<std::uint64_t>::max() };
 /// Token events have a few hundred bytes. A longer line is treated as an error.
 constexpr std::size_t MaxEventBytes = std::size_t{ 1 } << 20U;
 constexpr int FirstErrorStatus = 400;
 constexpr int FirstServerErrorStatus = 500;
 
-/// Value of a header; empty when it is missing.
-std::string headerOf(SoupMessageHeaders *headers, const char *name)
+/// Value of a field; empty when it is missing.
+std::string fieldOf(const ResponseHead &head, std::string_view name)
 {
-    const char *const value = soup_message_headers_get_one(headers, name);
-    return value == nullptr ? std::string() : std::string(value);
+    return std::string(findField(head.fields, name).value_or(std::string_view()));
+}
+
+/// Whether \p text can stand in the head of a request without ending its line or its part of the line.
+bool isLinePart(std::string_view text, bool mayHoldBlanks)
+{
+    return std::ranges::all_of(text, [mayHoldBlanks](char byte) {
+        const auto value = static_cast<unsigned char>(byte);
+        return value > ' ' ? value != 0x7f : mayHoldBlanks && value == ' ';
+    });
 }
 
 /// Parses \p text, which must consist of one number only.
@@ -84,35 +101,36 @@
     return numberFrom<Incarnation>(text, 16).value_or(std::hash<std::string>{}(text));
 }
 
-struct UpstreamCall::State {
-    ObjectRef<SoupSession> session;
+struct UpstreamCall::State : std::enable_shared_from_this<State> {
     UpstreamRequest request;
     Events events;
-    ObjectRef<SoupMessage> message;
-    ObjectRef<GCancellable> cancellable;
-    ObjectRef<GInputStream> body;
-    ObjectRef<GDataInputStream> lines; ///< Line reader on body; only for a token stream.
+    std::shared_ptr<Channel> channel;
+    std::optional<ResponseReader> reader;
+    Timer silenceTimer;
     UpstreamAnswer answer;
+    std::string unread;          ///< Received bytes of the body that have not been passed on.
     std::uint64_t nextIndex = 0; ///< Index of the next token to forward.
     std::string finishReason;
+    bool hasAnswered = false;   ///< The head has been received.
+    bool bodyComplete = false;  ///< The whole body has been received.
     bool endMarkerSeen = false; ///< The event [DONE] has been received.
     bool handedOver = false;    ///< Bytes of the request may have reached the upstream.
     bool paused = false;
-    bool reading = false; ///< A read operation is in progress.
-    bool ended = false;   ///< onEnd has been called, or the call has been destroyed.
-
-    using Self = std::shared_ptr<State>;
-
-    static void onStarting(SoupMessage *message, gpointer data);
-    static void onSent(GObject *source, GAsyncResult *result, gpointer data);
-    static void onLine(GObject *source, GAsyncResult *result, gpointer data);
-    static void onBytes(GObject *source, GAsyncResult *result, gpointer data);
+    bool ended = false; ///< onEnd has been called, or the call has been destroyed.
 
     [[nodiscard]] bool isTokenStream() const;
-    void readNext(const Self &self);
+    [[nodiscard]] std::string requestBytes(std::string_view address, std::string_view path) const;
+    void onData();
+    void onChannelEnd(ChannelEnd reason);
+    void onHead();
+    /// Passes on what has been received, unless the call is paused.
+    void passOn();
+    /// The upstream has sent something, or may go on: it has the whole limit again.
+    void restartSilenceTimer();
     void handleLine(std::string_view line);
     void handleToken(TokenEvent event);
     void endOfBody();
+    void refuse(ResponseFault cause);
     void failCall(const std::string &reason);
     void end(UpstreamResult result);
 };
@@ -122,89 +140,117 @@
     return request.isModel && answer.status < FirstErrorStatus;
 }
 
-void UpstreamCall::State::onStarting(SoupMessage * /*message*/, gpointer data)
+std::string UpstreamCall::State::requestBytes(std::string_view address, std::string_view path) const
 {
-    if (const Self self = static_cast<std::weak_ptr<State> *>(data)->lock()) {
-        self->handedOver = true;
+    std::string bytes = request.method;
+    bytes.append(" ").append(path).append(" HTTP/1.1\r\n");
+    appendField(bytes, "Host", address);
+    // Always a new connection. If the upstream closed a kept connection while the request is being sent, it would be unknown whether the call ran.
+    appendField(bytes, "Connection", "close");
+    if (!request.idempotencyKey.empty()) {
+        appendField(bytes, "Idempotency-Key", request.idempotencyKey);
+    }
+    if (!request.body.empty() && !request.contentType.empty()) {
+        appendField(bytes, "Content-Type", request.contentType);
+    }
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+        appendField(bytes, "Content-Length", std::to_string(request.body.size()));
     }
+    return bytes.append("\r\n").append(request.body);
 }
 
-void UpstreamCall::State::onSent(GObject * /*source*/, GAsyncResult *result, gpointer data)
+void UpstreamCall::State::restartSilenceTimer()
 {
-    const std::unique_ptr<Self> holder(static_cast<Self *>(data));
-    State &state = **holder;
-    GError *failure = nullptr;
-    ObjectRef<GInputStream> stream(soup_session_send_finish(state.session.get(), result, &failure));
-    const std::string reason = failure == nullptr ? std::string() : failure->message;
-    g_clear_error(&failure);
-    if (state.ended) {
-        return;
+    silenceTimer.startOnce(SilenceLimit, [this] {
+        const auto self = shared_from_this();
+        failCall("the upstream sent nothing for too long");
+    });
+}
+
+void UpstreamCall::State::onData()
+{
+    const auto self = shared_from_this();
+    restartSilenceTimer();
+    const ReadProgress progress = reader->read(channel->input());
+    if (!hasAnswered && reader->hasHead()) {
+        onHead();
     }
-    if (stream == nullptr) {
-        state.failCall(reason);
+    if (ended) {
         return;
     }
-    SoupMessageHeaders *const headers = soup_message_get_response_headers(state.message.get());
-    state.answer.status = static_cast<int>(soup_message_get_status(state.message.get()));
-    state.answer.contentType = headerOf(headers, "Content-Type");
-    state.answer.incarnation = incarnationFrom(headerOf(headers, "Engine-Incarnation"));
-    state.answer.cachedPieces = numberFrom<std::uint32_t>(headerOf(headers, "Cached-Pieces"), 10);
-    if (state.answer.status >= FirstServerErrorStatus && state.request.repeatable) {
-        state.failCall("the upstream answered with HTTP status " + std::to_string(state.answer.status));
+    unread += reader->takeBody();
+    bodyComplete = progress == ReadProgress::Complete;
+    if (progress != ReadProgress::Complete && progress != ReadProgress::NeedsMore) {
+        refuse(reader->fault());
         return;
     }
-    state.body = std::move(stream);
-    if (state.isTokenStream()) {
-        state.lines.reset(g_data_input_stream_new(state.body.get()));
-        g_data_input_stream_set_newline_type(state.lines.get(), G_DATA_STREAM_NEWLINE_TYPE_LF);
-    }
-    state.events.onAnswer(state.answer);
-    if (!state.ended) {
-        state.readNext(*holder);
-    }
+    passOn();
 }
 
-void UpstreamCall::State::readNext(const Self &self)
+void UpstreamCall::State::onChannelEnd(ChannelEnd reason)
 {
-    if (paused || reading || ended || body == nullptr) {
+    const auto self = shared_from_this();
+    if (bodyComplete) {
         return;
     }
-    reading = true;
-    if (lines != nullptr) {
-        g_data_input_stream_read_line_async(lines.get(), G_PRIORITY_DEFAULT, cancellable.get(), &State::onLine, new Self(self));
-    } else {
-        g_input_stream_read_bytes_async(body.get(), ReadBytes, G_PRIORITY_DEFAULT, cancellable.get(), &State::onBytes, new Self(self));
+    if (reason == ChannelEnd::ConnectFailed) {
+        failCall("no connection to the upstream could be established");
+        return;
     }
-}
-
-void UpstreamCall::State::onLine(GObject *source, GAsyncResult *result, gpointer data)
-{
-    const std::unique_ptr<Self> holder(static_cast<Self *>(data));
-    State &state = **holder;
-    gsize length = 0;
-    GError *failure = nullptr;
-    char *const line = g_data_input_stream_read_line_finish(G_DATA_INPUT_STREAM(source), result, &length, &failure);
-    const std::unique_ptr<char, decltype(&g_free)> lineOwner(line, &g_free);
-    const std::string reason = failure == nullptr ? std::string() : failure->message;
-    g_clear_error(&failure);
-    state.reading = false;
-    if (state.ended) {
+    if (!reader->hasStarted()) {
+        failCall("the upstream closed the connection without a response");
         return;
     }
-    if (!reason.empty()) {
-        state.failCall(reason);
+    if (channel->undelivered() > 0) {
+        // An upstream that has not received the whole request may have failed within its response.
+        refuse(ResponseFault::EarlyEnd);
         return;
     }
-    if (line == nullptr) {
-        state.endOfBody();
+    if (reason != ChannelEnd::PeerFinished || reader->readEof() != ReadProgress::Complete) {
+        refuse(ResponseFault::EndOfConnection);
         return;
     }
-    if (length > MaxEventBytes) {
-        state.failCall("the upstream sent an event that exceeds the size limit");
+    bodyComplete = true;
+    passOn();
+}
+
+void UpstreamCall::State::onHead()
+{
+    hasAnswered = true;
+    const ResponseHead &head = reader->head();
+    answer.status = static_cast<int>(head.status);
+    answer.contentType = fieldOf(head, "Content-Type");
+    answer.incarnation = incarnationFrom(fieldOf(head, "Engine-Incarnation"));
+    answer.cachedPieces = numberFrom<std::uint32_t>(fieldOf(head, "Cached-Pieces"), 10);
+    if (answer.status >= FirstServerErrorStatus && request.repeatable) {
+        failCall("the upstream answered with HTTP status " + std::to_string(answer.status));
         return;
     }
-    state.handleLine(std::string_view(line, length));
-    state.readNext(*holder);
+    events.onAnswer(answer);
+}
+
+void UpstreamCall::State::passOn()
+{
+    while (!ended && !paused && hasAnswered && !unread.empty()) {
+        if (!isTokenStream()) {
+            events.onPiece(std::exchange(unread, {}));
+            continue;
+        }
+        const std::size_t end = unread.find('\n');
+        if (std::min(end, unread.size()) > MaxEventBytes) {
+            failCall("the upstream sent an event that exceeds the size limit");
+            return;
+        }
+        if (end == std::string::npos && !bodyComplete) {
+            break;
+        }
+        const std::string line = unread.substr(0, end);
+        unread.erase(0, end == std::string::npos ? end : end + 1);
+        handleLine(line);
+    }
+    if (!ended && !paused && bodyComplete) {
+        endOfBody();
+    }
 }
 
 void UpstreamCall::State::handleLine(std::string_view line)
@@ -253,32 +299,6 @@
     events.onPiece(std::move(event.text));
 }
 
-void UpstreamCall::State::onBytes(GObject *source, GAsyncResult *result, gpointer data)
-{
-    const std::unique_ptr<Self> holder(static_cast<Self *>(data));
-    State &state = **holder;
-    GError *failure = nullptr;
-    const std::unique_ptr<GBytes, decltype(&g_bytes_unref)> bytes(g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, &failure), &g_bytes_unref);
-    const std::string reason = failure == nullptr ? std::string() : failure->message;
-    g_clear_error(&failure);
-    state.reading = false;
-    if (state.ended) {
-        return;
-    }
-    if (bytes == nullptr) {
-        state.failCall(reason);
-        return;
-    }
-    gsize size = 0;
-    const auto *const start = static_cast<const char *>(g_bytes_get_data(bytes.get(), &size));
-    if (size == 0) {
-        state.endOfBody();
-        return;
-    }
-    state.events.onPiece(std::string(start, size));
-    state.readNext(*holder);
-}
-
 void UpstreamCall::State::endOfBody()
 {
     if (isTokenStream() && !endMarkerSeen) {
@@ -289,6 +309,12 @@
     end({ .complete = true, .verdict = verdict, .error = {}, .finishReason = finishReason, .message = {} });
 }
 
+void UpstreamCall::State::refuse(ResponseFault cause)
+{
+    logEvent(LogLevel::Warning, "response_refused", { { "url", request.url }, { "status", answer.status }, { "cause", cause } });
+    failCall("the upstream's response was refused: " + std::string(nameOf(cause)));
+}
+
 void UpstreamCall::State::failCall(const std::string &reason)
 {
     end({
@@ -306,67 +332,98 @@
         return;
     }
     ended = true;
-    g_cancellable_cancel(cancellable.get());
+    silenceTimer.stop();
+    if (channel && bodyComplete) {
+        channel->close();
+    } else if (channel) {
+        // The upstream cancels the request.
+        channel->abort();
+    }
     // Moved out first, because onEnd may destroy the call.
     const auto onEnd = std::move(events.onEnd);
     onEnd(std::move(result));
 }
 
-UpstreamCall::UpstreamCall(SoupSession *session, UpstreamRequest request, Events events)
+UpstreamCall::UpstreamCall(UpstreamRequest request, Events events)
     : state_(std::make_shared<State>())
 {
-    state_->session = refObject(session);
     state_->nextIndex = request.firstIndex;
     state_->request = std::move(request);
     state_->events = std::move(events);
-    state_->cancellable.reset(g_cancellable_new());
 }
 
 UpstreamCall::~UpstreamCall()
 {
     state_->ended = true;
-    g_cancellable_cancel(state_->cancellable.get());
+    state_->silenceTimer.stop();
+    if (state_->channel) {
+        state_->channel->abort();
+    }
 }
 
 void UpstreamCall::start()
 {
-    const State::Self self = state_; // onEnd may destroy the call.
+    constexpr std::string_view Scheme = "http://";
+    const std::shared_ptr<State> self = state_; // onEnd may destroy the call.
     State &state = *self;
     const UpstreamRequest &request = state.request;
-    state.message.reset(soup_message_new(request.method.c_str(), request.url.c_str()));
-    if (state.message == nullptr) {
+    const std::string_view url = request.url;
+    const std::size_t slash = url.find('/', Scheme.size());
+    const bool isSound = url.starts_with(Scheme) && slash != std::string_view::npos && isLinePart(url, false) && !request.method.empty()
+        && isLinePart(request.method, false) && isLinePart(request.contentType, true) && isLinePart(request.idempotencyKey, true);
+    if (!isSound) {
         state.failCall("the request path does not form a valid URL");
         return;
     }
-    // Always a new connection. If the upstream closed a kept-alive connection while the request is being sent, it would be
-    // unknown whether the call ran, and libsoup resends some requests on its own in that case.
-    soup_message_set_flags(state.message.get(), static_cast<SoupMessageFlags>(SOUP_MESSAGE_NEW_CONNECTION | SOUP_MESSAGE_NO_REDIRECT));
-    SoupMessageHeaders *const headers = soup_message_get_request_headers(state.message.get());
-    soup_message_headers_replace(headers, "Connection", "close");
-    if (!request.idempotencyKey.empty()) {
-        soup_message_headers_replace(headers, "Idempotency-Key", request.idempotencyKey.c_str());
-    }
-    if (!request.body.empty()) {
-        GBytes *const bytes = g_bytes_new(request.body.data(), request.body.size());
-        soup_message_set_request_body_from_bytes(state.message.get(), request.contentType.empty() ? nullptr : request.contentType.c_str(), bytes);
-        g_bytes_unref(bytes);
-    }
-    using WeakState = std::weak_ptr<State>;
-    g_signal_connect_data(
-        state.message.get(), "starting", G_CALLBACK(&State::onStarting), new WeakState(self),
-        [](gpointer data, GClosure *) { delete static_cast<WeakState *>(data); }, GConnectFlags{});
-    soup_session_send_async(state.session.get(), state.message.get(), G_PRIORITY_DEFAULT, state.cancellable.get(), &State::onSent, new State::Self(self));
+    const std::string address(url.substr(Scheme.size(), slash - Scheme.size()));
+    const std::weak_ptr<State> weak = self;
+    state.reader.emplace(ResponseLimits, request.method == "HEAD");
+    state.channel = Channel::connect(address,
+                                     { .onOpen =
+                                           [weak] {
+                                               if (const auto call = weak.lock()) {
+                                                   call->handedOver = true;
+                                               }
+                                           },
+                                       .onData =
+                                           [weak] {
+                                               if (const auto call = weak.lock()) {
+                                                   call->onData();
+                                               }
+                                           },
+                                       .onEnd =
+                                           [weak](ChannelEnd reason) {
+                                               if (const auto call = weak.lock()) {
+                                                   call->onChannelEnd(reason);
+                                               }
+                                           },
+                                       .maxOutputBytes = std::numeric_limits<std::size_t>::max() });
+    if (!state.channel) {
+        state.failCall("no connection to the upstream could be established");
+        return;
+    }
+    state.restartSilenceTimer();
+    state.channel->write(state.requestBytes(address, url.substr(slash)));
 }
 
 void UpstreamCall::pause()
 {
     state_->paused = true;
+    state_->silenceTimer.stop();
+    if (state_->channel) {
+        state_->channel->setInputHeld(true);
+    }
 }
 
 void UpstreamCall::resume()
 {
-    state_->paused = false;
-    state_->readNext(state_);
+    const std::shared_ptr<State> self = state_; // onEnd may destroy the call.
+    self->paused = false;
+    if (self->channel && !self->ended) {
+        self->channel->setInputHeld(false);
+        self->restartSilenceTimer();
+        self->passOn();
+    }
 }
 
 bool UpstreamCall::wasHandedOver() const
@@ -381,7 +438,7 @@
 
 void UpstreamCall::fail(const std::string &reason)
 {
-    const State::Self self = state_; // onEnd may destroy the call.
+    const std::shared_ptr<State> self = state_; // onEnd may destroy the call.
     self->failCall(reason);
 }
 
--- a/packages/agent/src/upstream_call.h
+++ b/packages/agent/src/upstream_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // One HTTP call to the upstream. The response is streamed: server-sent events from a model engine, or bytes from a plain
-// service.
+// service. What RFC 9112 lets a recipient refuse fails the call.
 
 #include "carobhall/runtime.h"
 
@@ -13,7 +13,7 @@
 [[nodiscard]] Incarnation incarnationFrom(const std::string &text);
 
 struct UpstreamRequest {
-    std::string url;
+    std::string url; ///< "http://ip:port/path".
     std::string method;
     std::string contentType;
     std::string body;
@@ -48,7 +48,7 @@
         std::function<void(UpstreamResult)> onEnd; ///< Called exactly once, unless the call is destroyed first. May destroy the call.
     };
 
-    UpstreamCall(SoupSession *session, UpstreamRequest request, Events events);
+    UpstreamCall(UpstreamRequest request, Events events);
     /// Aborts the HTTP call.
     ~UpstreamCall();
     UpstreamCall(const UpstreamCall &) = delete;
--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -11,7 +11,7 @@
 constexpr Micros PollInterval = 500 * MicrosPerMilli;
 /// An unreachable upstream counts as down for this long, unless it answers a poll earlier.
 constexpr Micros DownPeriod = MicrosPerSecond;
-/// Calls fail when the upstream sends nothing for this long, because it has then probably hung.
+/// Polls fail when the upstream sends nothing for this long, because it has then probably hung.
 constexpr guint ReadTimeoutSeconds = 30;
 /// Limits how long the outcomes of failed calls are held back by the liveness check.
 constexpr guint CheckTimeoutSeconds = 1;
@@ -25,7 +25,6 @@
     , checkSession_(soup_session_new_with_options("timeout", CheckTimeoutSeconds, nullptr))
     , cancellable_(g_cancellable_new())
 {
-    // Response bodies are forwarded byte for byte, so they must not be decompressed.
     soup_session_remove_feature_by_type(session_.get(), SOUP_TYPE_CONTENT_DECODER);
 }
 
@@ -50,7 +49,7 @@
         forward(answer);
     };
     events.onAnswer = std::move(onAnswer);
-    return std::make_unique<UpstreamCall>(session_.get(), std::move(request), std::move(events));
+    return std::make_unique<UpstreamCall>(std::move(request), std::move(events));
 }
 
 void UpstreamClient::cancelAtEngine(const std::string &requestId)
