--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -25,6 +25,7 @@
     , checkSession_(soup_session_new_with_options("timeout", CheckTimeoutSeconds, nullptr))
     , cancellable_(g_cancellable_new())
 {
+    // Polls ask for replies without an encoding.
     soup_session_remove_feature_by_type(session_.get(), SOUP_TYPE_CONTENT_DECODER);
 }
 
