Do not take a blank at the beginning of a body for a folded line

Cause: Beast takes complete lines of a head that arrives in pieces, so that the empty line can stand at the front of what remains. There the head ends.

--- a/packages/http/src/http_message.cpp
+++ b/packages/http/src/http_message.cpp
@@ -290,7 +290,9 @@
         error = {};
         const std::string_view rest = std::string_view(buffer).substr(consumed);
         if constexpr (!IsRequest) {
-            const bool areLines = !parser.hasHead || (parser.chunked() && parser.chunkBytesLeft == 0 && isLastChunk(rest));
+            // Beast may have taken all lines of the head but the empty one, which the body follows.
+            const bool isEndOfHead = parser.hasStartLine && rest.starts_with("\r\n");
+            const bool areLines = (!parser.hasHead && !isEndOfHead) || (parser.chunked() && parser.chunkBytesLeft == 0 && isLastChunk(rest));
             if (areLines && hasFoldedLine(rest)) {
                 error = Http::error::bad_obs_fold;
                 progress = ReadProgress::Malformed;
