Do not take bytes that wait on a kept connection for a reply

A server that sends bytes behind a complete reply, late enough that they wait in the socket when the next call takes the connection, had them taken for the reply to that call. Kept connections with unread bytes are now closed.

platform_http_client_test/bytesBehindAReplyBelongToNoCall failed before (body "extra" instead of "ok") and passes now.

--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -75,11 +75,11 @@
     {
     }
 
-    /// Removes the kept connections that cannot be used any more.
+    /// Removes the kept connections that cannot be used any more. Bytes that wait on one would be taken for the next reply.
     void expireIdle()
     {
         idle.remove_if([now = monotonicNow()](const IdleConnection &connection) {
-            const bool usable = connection.channel->isOpen() && connection.usableUntil > now;
+            const bool usable = connection.channel->isOpen() && connection.usableUntil > now && !connection.channel->hasUnreadInput();
             if (!usable) {
                 connection.channel->close();
             }
