--- a/review/src-3/standins.h
+++ b/review/src-3/standins.h
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/ioctl.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -28,6 +29,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 namespace Review
@@ -288,16 +290,29 @@
         ++revision_;
         const std::string text = objectText(name, spec);
         objects_[kind][name] = text;
-        events_.push_back({ revision_, kind, "{\"object\":" + text + ",\"deleted\":false}" });
+        events_.push_back({ revision_, kind, "{\"object\":" + text + ",\"deleted\":false}", now() });
         changed_.notify_all();
         return now();
     }
+    /// Turns all calls away with 503, also the waiting watches; the operator's writes (put(), remove()) are served.
+    void setAway(bool isAway)
+    {
+        const std::lock_guard lock(mutex_);
+        isAway_ = isAway;
+        changed_.notify_all();
+    }
+    /// How often all objects of \p kind were listed.
+    int lists(const std::string &kind)
+    {
+        const std::lock_guard lock(mutex_);
+        return lists_[kind];
+    }
     double remove(const std::string &kind, const std::string &name)
     {
         const std::lock_guard lock(mutex_);
         ++revision_;
         objects_[kind].erase(name);
-        events_.push_back({ revision_, kind, "{\"object\":" + objectText(name, "{}") + ",\"deleted\":true}" });
+        events_.push_back({ revision_, kind, "{\"object\":" + objectText(name, "{}") + ",\"deleted\":true}", now() });
         changed_.notify_all();
         return now();
     }
@@ -307,7 +322,10 @@
         std::uint64_t revision;
         std::string kind;
         std::string text;
+        double at;
     };
+    static constexpr double HistorySeconds = 20;
+
     std::string objectText(const std::string &name, const std::string &spec) const
     {
         return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string(revision_) + ",\"created\":1},\"spec\":" + spec + "}";
@@ -332,12 +350,17 @@
             }
             int status = 200;
             std::string body;
-            if (!request->startLine.starts_with("GET")) {
+            bool isAway = false;
+            {
+                const std::lock_guard lock(mutex_);
+                isAway = isAway_;
+            }
+            if (isAway || !request->startLine.starts_with("GET")) {
                 // The system writes nothing in these cases but what it may lose.
                 status = 503;
                 body = "{}";
             } else if (target.find("watch=") != std::string::npos) {
-                body = watch(kind, parameter(target, "watch"), parameter(target, "waitMs"));
+                std::tie(status, body) = watch(kind, parameter(target, "watch"), parameter(target, "waitMs"));
             } else {
                 const std::lock_guard lock(mutex_);
                 if (!name.empty()) {
@@ -345,6 +368,7 @@
                     status = found == objects_[kind].end() ? 404 : 200;
                     body = status == 200 ? found->second : "{}";
                 } else {
+                    ++lists_[kind];
                     for (const auto &[key, text] : objects_[kind]) {
                         body += (body.empty() ? "" : ",") + text;
                     }
@@ -358,19 +382,29 @@
             }
         }
     }
-    std::string watch(const std::string &kind, std::uint64_t since, std::uint64_t milliseconds)
+    std::pair<int, std::string> watch(const std::string &kind, std::uint64_t since, std::uint64_t milliseconds)
     {
         std::unique_lock lock(mutex_);
         const auto end = Clock::now() + std::chrono::milliseconds(milliseconds);
         std::string events;
         for (;;) {
+            if (isAway_) {
+                return { 503, "{}" };
+            }
+            while (!events_.empty() && now() - events_.front().at > HistorySeconds) {
+                forgotten_ = events_.front().revision;
+                events_.erase(events_.begin());
+            }
+            if (since < forgotten_) {
+                return { 410, "{}" };
+            }
             for (const Event &event : events_) {
                 if (event.revision > since && event.kind == kind) {
                     events += (events.empty() ? "" : ",") + event.text;
                 }
             }
             if (!events.empty() || changed_.wait_until(lock, end) == std::cv_status::timeout) {
-                return "{\"events\":[" + events + "],\"asOf\":" + std::to_string(revision_) + "}";
+                return { 200, "{\"events\":[" + events + "],\"asOf\":" + std::to_string(revision_) + "}" };
             }
         }
     }
@@ -380,6 +414,9 @@
     std::uint64_t revision_ = 10;
     std::map<std::string, std::map<std::string, std::string>> objects_;
     std::vector<Event> events_;
+    std::uint64_t forgotten_ = 0; ///< Revision of the newest event that is no longer kept.
+    bool isAway_ = false;
+    std::map<std::string, int> lists_;
     std::uint16_t port_;
 };
 
@@ -440,6 +477,8 @@
     {
         process_ = fork();
         if (process_ == 0) {
+            // Also if this program is killed from outside.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
             dup2(log, 2);
