--- a/review/src-3/odd_entry.cpp
+++ b/review/11/odd_entry.cpp
@@ -3,7 +3,7 @@
 // One gateway and two services with one server each. A config adds a route to the second service; both routes are served. The disruption: another
 // writer registers an entry at the address of the second server, for a service that no config names. It is removed again after 6 s.
 
-#include "standins.h"
+#include "../standins-3.h"
 
 using namespace Review;
 
